--- /dev/null
+++ b/src/balsamstream/command/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command-line tool."""
--- /dev/null
+++ b/src/balsamstream/config/__init__.py
@@ -0,0 +1,1 @@
+"""Validated models of what operators declare."""
--- /dev/null
+++ b/src/balsamstream/edge/__init__.py
@@ -0,0 +1,1 @@
+"""Protocols spoken towards callers and backend servers."""
--- /dev/null
+++ b/src/balsamstream/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""A micro-kernel: services with explicit start and close, found by name."""
--- /dev/null
+++ b/src/balsamstream/report/__init__.py
@@ -0,0 +1,1 @@
+"""The report on service-level burn."""
--- /dev/null
+++ b/src/balsamstream/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Encoding and authentication of messages between the system's processes."""
