Fix the messages, views and verdicts that all decisions share

Ruled out: leases with clocks as the guard of non-repeatable work, since a paused VM's clock may stand still; claims at a majority of voters need no clock.

--- /dev/null
+++ b/src/balsamstream/core/message.py
@@ -0,0 +1,446 @@
+"""Messages between balancers and agents, and the actions that decisions ask for."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum, IntEnum, IntFlag
+from typing import TYPE_CHECKING, Any
+
+from .identity import NO_ADDRESS, NO_REQUEST, NOBODY, Address, FlowKey, RequestKey
+
+if TYPE_CHECKING:
+    from .identity import ProcessRef
+    from .routing import RoutingVersion
+    from .verdict import MayHaveRun, NotRun
+    from .view import View, ViewEdit
+
+
+class RequestKind(IntEnum):
+    """What the edge found in a caller's datagram."""
+
+    NONE = 0
+    REPEATABLE = 1
+    NON_REPEATABLE = 2
+
+
+class PacketFlag(IntFlag):
+    """How a packet was passed on."""
+
+    NONE = 0
+    PLACED = 1
+    """The bucket's owner chose the receiver to hold this flow."""
+    ACTING = 2
+    """The balancer cannot reach the bucket's owner; the receiver stands in."""
+
+
+# --- the packet path ---------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Packet:
+    """A caller's datagram on its way to a host.
+
+    Parameters
+    ----------
+    service : int
+        32-bit hash of the service's name.
+    flow : FlowKey
+        Flow of the datagram.
+    caller : Address
+        Where answers go.
+    via : Address
+        Balancer the datagram entered by.
+    version : RoutingVersion
+        Routing that the sender used.
+    kind : RequestKind
+        Whether a request is inside and may be repeated.
+    request : RequestKey
+        Key of that request, or ``NO_REQUEST``.
+    deadline_ms : int
+        Time left for the request, in milliseconds.
+    hops : int
+        How often agents have passed the packet on.
+    flags : PacketFlag
+        How the packet was passed on.
+    payload : bytes
+        The datagram itself.
+    """
+
+    service: int
+    flow: FlowKey
+    caller: Address
+    via: Address
+    version: RoutingVersion
+    kind: RequestKind
+    request: RequestKey
+    deadline_ms: int
+    payload: bytes
+    hops: int = 0
+    flags: PacketFlag = PacketFlag.NONE
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A backend server's datagram on its way to a caller."""
+
+    service: int
+    flow: FlowKey
+    caller: Address
+    version: RoutingVersion
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """An agent's verdict on a request that it gives no answer to.
+
+    Parameters
+    ----------
+    verdict : NotRun or MayHaveRun
+        What the caller is told.
+    head : bytes
+        First bytes of the refused datagram, from which the edge builds the answer.
+    """
+
+    service: int
+    flow: FlowKey
+    caller: Address
+    version: RoutingVersion
+    verdict: NotRun | MayHaveRun
+    head: bytes
+
+
+# --- membership and flows ----------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class ViewAsk:
+    """Asks for a view and data centre states of at least a version."""
+
+    service: str
+    have: RoutingVersion
+
+
+@dataclass(frozen=True, slots=True)
+class ViewPush:
+    """A view and the data centre states that go with it."""
+
+    view: View
+    out: frozenset[str]
+    data_centres_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReportAsk:
+    """The owner of some buckets asks a member which of their flows it holds."""
+
+    service: str
+    version: RoutingVersion
+    owner: ProcessRef
+    page: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReportReply:
+    """A page of the flows that a member holds for an owner."""
+
+    service: str
+    version: RoutingVersion
+    holder: ProcessRef
+    page: int
+    pages: int
+    flows: tuple[FlowKey, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HolderAsk:
+    """Asks a member whether it holds one flow."""
+
+    service: str
+    flow: FlowKey
+
+
+@dataclass(frozen=True, slots=True)
+class HolderReply:
+    """Whether a member holds, or knows the holder of, one flow."""
+
+    service: str
+    flow: FlowKey
+    member: ProcessRef
+    holder: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """How loaded a host is: 0 idle, 1 at what it bears now."""
+
+    service: str
+    host: str
+    load: float
+    flows: int
+    in_flight: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """Asks whether a process runs."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Pong:
+    """A process runs, in this incarnation."""
+
+    number: int
+    ref: ProcessRef
+
+
+# --- claims ------------------------------------------------------------------------
+
+
+class ClaimOutcome(Enum):
+    """What a voter says to a claim."""
+
+    GRANTED = "granted"
+    TAKEN = "taken"
+    SEALED = "sealed"
+    """The voter votes in a later epoch only, or in none."""
+    INACTIVE = "inactive"
+    """The voter has not yet gathered the claims of earlier epochs."""
+    FULL = "full"
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimAsk:
+    """A process asks to be the only one that may run a request."""
+
+    service: str
+    epoch: int
+    request: RequestKey
+    claimant: ProcessRef
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimReply:
+    """A voter's answer; ``holder`` is the recorded claimant."""
+
+    service: str
+    epoch: int
+    request: RequestKey
+    claimant: ProcessRef
+    voter: ProcessRef
+    outcome: ClaimOutcome
+    holder: ProcessRef = NOBODY
+
+
+@dataclass(frozen=True, slots=True)
+class SealAsk:
+    """A voter of a new epoch asks for the claims of earlier ones."""
+
+    service: str
+    epoch: int
+    asker: ProcessRef
+    page: int
+
+
+@dataclass(frozen=True, slots=True)
+class SealReply:
+    """A voter grants nothing more below an epoch; a page of its claims.
+
+    Parameters
+    ----------
+    active_epoch : int
+        Epoch the voter grants in, or zero.
+    claims : tuple
+        Pairs of a request and its recorded claimant.
+    """
+
+    service: str
+    epoch: int
+    voter: ProcessRef
+    active_epoch: int
+    page: int
+    pages: int
+    claims: tuple[tuple[RequestKey, ProcessRef], ...]
+
+
+# --- configuration -----------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigObject:
+    """One object of the platform; a deleted one has no spec."""
+
+    kind: str
+    name: str
+    version: int
+    spec: dict[str, Any] | None = field(hash=False)
+
+
+@dataclass(frozen=True, slots=True)
+class ChangesAsk:
+    """Asks for all objects later than a version; an agent names its service."""
+
+    have: int
+    service: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Objects of versions above ``since`` up to ``up_to``.
+
+    ``full`` says that the sender holds nothing besides these objects, so what is
+    missing was deleted.
+    """
+
+    since: int
+    up_to: int
+    full: bool
+    more: bool
+    objects: tuple[ConfigObject, ...]
+
+
+Message = (
+    Packet
+    | Answer
+    | Refusal
+    | ViewAsk
+    | ViewPush
+    | ReportAsk
+    | ReportReply
+    | HolderAsk
+    | HolderReply
+    | LoadReport
+    | Ping
+    | Pong
+    | ClaimAsk
+    | ClaimReply
+    | SealAsk
+    | SealReply
+    | ChangesAsk
+    | Changes
+)
+
+
+# --- actions -----------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send a message to a process of the system."""
+
+    to: Address
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class Deliver:
+    """Give a datagram to the backend server on the flow's own socket."""
+
+    flow: FlowKey
+    caller: Address
+    request: RequestKey
+    deadline_ms: int
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """Tell the backend server that nobody waits for a request any more."""
+
+    flow: FlowKey
+    request: RequestKey
+
+
+@dataclass(frozen=True, slots=True)
+class CloseFlow:
+    """Close the flow's socket."""
+
+    flow: FlowKey
+
+
+@dataclass(frozen=True, slots=True)
+class ReturnToCaller:
+    """Send a datagram out of the edge."""
+
+    service: int
+    caller: Address
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class RefuseCaller:
+    """Have the edge build a refusal from the first bytes of a datagram."""
+
+    service: int
+    caller: Address
+    verdict: NotRun | MayHaveRun
+    head: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class EditView:
+    """Change a view on the platform by conditional update."""
+
+    service: str
+    edit: ViewEdit
+
+
+@dataclass(frozen=True, slots=True)
+class Count:
+    """Add to a counter."""
+
+    name: str
+    amount: int = 1
+
+
+Action = (
+    Send
+    | Deliver
+    | Cancel
+    | CloseFlow
+    | ReturnToCaller
+    | RefuseCaller
+    | EditView
+    | Count
+)
+
+__all__ = [
+    "NOBODY",
+    "NO_ADDRESS",
+    "NO_REQUEST",
+    "Action",
+    "Address",
+    "Answer",
+    "Cancel",
+    "Changes",
+    "ChangesAsk",
+    "ClaimAsk",
+    "ClaimOutcome",
+    "ClaimReply",
+    "CloseFlow",
+    "ConfigObject",
+    "Count",
+    "Deliver",
+    "EditView",
+    "HolderAsk",
+    "HolderReply",
+    "LoadReport",
+    "Message",
+    "Packet",
+    "PacketFlag",
+    "Ping",
+    "Pong",
+    "Refusal",
+    "RefuseCaller",
+    "ReportAsk",
+    "ReportReply",
+    "RequestKind",
+    "ReturnToCaller",
+    "SealAsk",
+    "SealReply",
+    "Send",
+    "ViewAsk",
+    "ViewPush",
+]
--- /dev/null
+++ b/src/balsamstream/core/routing.py
@@ -0,0 +1,126 @@
+"""Which host owns which flows: weighted rendezvous over a fixed number of buckets."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+import xxhash
+
+from .identity import FlowKey
+from .view import MemberState
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from .identity import Address
+    from .view import Member, View
+
+BUCKETS: Final = 512
+MOST_RANKED: Final = 4
+_HASH_RANGE: Final = float(2**64)
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class RoutingVersion:
+    """What a routing was computed from; both parts only rise.
+
+    Parameters
+    ----------
+    view : int
+        Number of the service's view.
+    data_centres : int
+        Highest platform version among the data centre objects.
+    """
+
+    view: int
+    data_centres: int
+
+    def covers(self, other: RoutingVersion) -> bool:
+        """Tell whether neither part is older than the other's."""
+        return self.view >= other.view and self.data_centres >= other.data_centres
+
+
+def compute_flow_key(service: str, caller: Address) -> FlowKey:
+    """Hash a service and a caller's address into a flow key."""
+    return FlowKey(xxhash.xxh3_64_intdigest(f"{service}|{caller.ip}|{caller.port}"))
+
+
+def compute_bucket(flow: FlowKey) -> int:
+    """Return the bucket of a flow, from 0 to ``BUCKETS`` - 1."""
+    return flow % BUCKETS
+
+
+def score_member(bucket: int, member: Member) -> float:
+    """Weighted rendezvous score: the highest scores rank first."""
+    hashed = xxhash.xxh3_64_intdigest(f"{bucket}|{member.ref.name}")
+    return -member.slots / math.log((hashed + 0.5) / _HASH_RANGE)
+
+
+class Routing:
+    """Ranks the eligible hosts of one service for each bucket.
+
+    Parameters
+    ----------
+    view : View
+        Members of the service.
+    out : frozenset of str
+        Data centres that operators took out.
+    data_centres_version : int
+        Version that the data centre states are of.
+    """
+
+    __slots__ = ("_ranked", "eligible", "out", "reachable", "version", "view")
+
+    def __init__(
+        self, view: View, out: frozenset[str], data_centres_version: int
+    ) -> None:
+        self.view = view
+        self.out = out
+        self.version = RoutingVersion(view.number, data_centres_version)
+        inside = [member for member in view.members if member.data_centre not in out]
+        self.eligible: Sequence[Member] = tuple(
+            member for member in inside if member.state is MemberState.ACTIVE
+        )
+        self.reachable: Sequence[Member] = tuple(
+            member for member in inside if member.state is not MemberState.DOWN
+        )
+        self._ranked: dict[int, tuple[Member, ...]] = {}
+
+    def rank(self, flow: FlowKey) -> tuple[Member, ...]:
+        """Return the best hosts for a flow, its owner first; empty if there is none."""
+        bucket = compute_bucket(flow)
+        ranked = self._ranked.get(bucket)
+        if ranked is not None:
+            return ranked
+        by_score = sorted(
+            self.eligible,
+            key=lambda member: score_member(bucket, member),
+            reverse=True,
+        )
+        ranked = tuple(by_score[:MOST_RANKED])
+        self._ranked[bucket] = ranked
+        return ranked
+
+    def find_owner(self, flow: FlowKey) -> Member | None:
+        """Return the host that decides on new flows of this flow's bucket."""
+        ranked = self.rank(flow)
+        return ranked[0] if ranked else None
+
+    def find_reachable(self, name: str) -> Member | None:
+        """Return a member that may hold flows, by name."""
+        for member in self.reachable:
+            if member.ref.name == name:
+                return member
+        return None
+
+
+__all__ = [
+    "BUCKETS",
+    "Routing",
+    "RoutingVersion",
+    "compute_bucket",
+    "compute_flow_key",
+    "score_member",
+]
--- /dev/null
+++ b/src/balsamstream/core/view.py
@@ -0,0 +1,280 @@
+"""The membership of one service and the voters that guard its requests."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from enum import Enum
+from typing import TYPE_CHECKING, Final
+
+from .identity import Address, ProcessRef
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+VOTERS_WANTED: Final = 3
+MOST_VOTER_SETS: Final = 6
+
+
+class MemberState(Enum):
+    """What a member of a view may be given."""
+
+    ACTIVE = "active"
+    DRAINING = "draining"
+    DOWN = "down"
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One host of a service.
+
+    Parameters
+    ----------
+    ref : ProcessRef
+        The agent's name and incarnation.
+    address : Address
+        Where the agent takes messages.
+    data_centre : str
+        Name of the host's data centre.
+    slots : int
+        The host's weight: how many shares of work it bears.
+    state : MemberState
+        Whether new flows, held flows or nothing may go there.
+    """
+
+    ref: ProcessRef
+    address: Address
+    data_centre: str
+    slots: int
+    state: MemberState = MemberState.ACTIVE
+
+
+@dataclass(frozen=True, slots=True)
+class Voter:
+    """A process that records claims; only in this incarnation it has a vote."""
+
+    ref: ProcessRef
+    address: Address
+    data_centre: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class VoterSet:
+    """The voters of one epoch.
+
+    Parameters
+    ----------
+    epoch : int
+        Rises with each set of a service.
+    voters : tuple of Voter
+        A majority of them decides a claim.
+    quarantine_s : float
+        How long the voters wait before they grant, in seconds; above zero only where
+        an operator replaced voters that could not be asked any more.
+    """
+
+    epoch: int
+    voters: tuple[Voter, ...]
+    quarantine_s: float = 0.0
+
+    @property
+    def majority(self) -> int:
+        """Number of voters that decides."""
+        return len(self.voters) // 2 + 1
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """Versioned membership of one service.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    number : int
+        Rises by one with each change.
+    members : tuple of Member
+        All hosts known, sorted by name.
+    voter_sets : tuple of VoterSet
+        Newest last; an older set stays until its claims have been carried over.
+    """
+
+    service: str
+    number: int
+    members: tuple[Member, ...] = ()
+    voter_sets: tuple[VoterSet, ...] = ()
+
+    def find_member(self, name: str) -> Member | None:
+        """Return the member of that name, if it is listed."""
+        for member in self.members:
+            if member.ref.name == name:
+                return member
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class Join:
+    """A host announces itself, or a restarted one its new incarnation."""
+
+    member: Member
+
+
+@dataclass(frozen=True, slots=True)
+class SetState:
+    """A member's state changes, if it still runs in that incarnation."""
+
+    ref: ProcessRef
+    state: MemberState
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """A member has finished its work and goes."""
+
+    ref: ProcessRef
+
+
+@dataclass(frozen=True, slots=True)
+class TrimVoterSets:
+    """The claims of all sets before an epoch have been carried over."""
+
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class ResetVoters:
+    """An operator vouches that the old voters are dead."""
+
+    quarantine_s: float
+
+
+ViewEdit = Join | SetState | Leave | TrimVoterSets | ResetVoters
+
+
+def edit_view(view: View, edit: ViewEdit, spare_voters: Sequence[Voter] = ()) -> View:
+    """Apply one edit and repair the voter set.
+
+    Parameters
+    ----------
+    view : View
+        The view the edit was decided on or a later one.
+    edit : ViewEdit
+        What changes.
+    spare_voters : sequence of Voter
+        Balancers that may vote where a service has too few hosts.
+
+    Returns
+    -------
+    View
+        The next view, or the same object where nothing changes.
+    """
+    members = _edit_members(view.members, edit)
+    sets = _edit_voter_sets(view.voter_sets, edit)
+    sets = _repair_voters(sets, members, spare_voters, edit)
+    if members == view.members and sets == view.voter_sets:
+        return view
+    return replace(view, number=view.number + 1, members=members, voter_sets=sets)
+
+
+def _edit_members(members: tuple[Member, ...], edit: ViewEdit) -> tuple[Member, ...]:
+    match edit:
+        case Join(member):
+            others = [known for known in members if known.ref.name != member.ref.name]
+            return tuple(sorted([*others, member], key=lambda known: known.ref))
+        case SetState(ref, state):
+            return tuple(
+                replace(known, state=state) if known.ref == ref else known
+                for known in members
+            )
+        case Leave(ref):
+            return tuple(known for known in members if known.ref != ref)
+        case _:
+            return members
+
+
+def _edit_voter_sets(
+    sets: tuple[VoterSet, ...], edit: ViewEdit
+) -> tuple[VoterSet, ...]:
+    match edit:
+        case TrimVoterSets(epoch):
+            if sets and sets[-1].epoch == epoch:
+                return sets[-1:]
+            return sets
+        case _:
+            return sets
+
+
+def _repair_voters(
+    sets: tuple[VoterSet, ...],
+    members: tuple[Member, ...],
+    spares: Sequence[Voter],
+    edit: ViewEdit,
+) -> tuple[VoterSet, ...]:
+    able = [
+        Voter(member.ref, member.address, member.data_centre)
+        for member in members
+        if member.state is MemberState.ACTIVE
+    ]
+    current = sets[-1].voters if sets else ()
+    wanted = _choose_voters(current, able, spares)
+    next_epoch = sets[-1].epoch + 1 if sets else 1
+    match edit:
+        case ResetVoters(quarantine_s):
+            return (VoterSet(next_epoch, wanted, quarantine_s),)
+        case _:
+            pass
+    if not wanted or set(wanted) == set(current):
+        return sets
+    if len(sets) >= MOST_VOTER_SETS:
+        return sets
+    return (*sets, VoterSet(next_epoch, wanted))
+
+
+def _choose_voters(
+    current: Iterable[Voter], able: Sequence[Voter], spares: Sequence[Voter]
+) -> tuple[Voter, ...]:
+    """Keep the voters that still serve and fill up across data centres."""
+    candidates = {voter.ref: voter for voter in (*able, *spares)}
+    chosen = [voter for voter in current if voter.ref in candidates]
+    for pool in (able, spares):
+        for voter in _order_by_spread(pool, chosen):
+            if len(chosen) >= VOTERS_WANTED:
+                break
+            if voter.ref in {known.ref for known in chosen}:
+                continue
+            chosen.append(voter)
+    if len(chosen) % 2 == 0 and len(chosen) > 1:
+        # An even set needs as many votes as the next odd one but bears no more deaths.
+        chosen.pop()
+    return tuple(chosen)
+
+
+def _order_by_spread(pool: Sequence[Voter], chosen: Sequence[Voter]) -> list[Voter]:
+    """Put voters first whose data centres have none yet."""
+    used = {voter.data_centre for voter in chosen}
+    first: list[Voter] = []
+    rest: list[Voter] = []
+    for voter in sorted(pool, key=lambda known: known.ref):
+        if voter.data_centre in used:
+            rest.append(voter)
+            continue
+        used.add(voter.data_centre)
+        first.append(voter)
+    return first + rest
+
+
+__all__ = [
+    "MOST_VOTER_SETS",
+    "VOTERS_WANTED",
+    "Join",
+    "Leave",
+    "Member",
+    "MemberState",
+    "ResetVoters",
+    "SetState",
+    "TrimVoterSets",
+    "View",
+    "ViewEdit",
+    "Voter",
+    "VoterSet",
+    "edit_view",
+]
