--- a/src/balsamstream/core/view.py
+++ b/src/balsamstream/core/view.py
@@ -6,11 +6,11 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Final
 
-from .identity import Address, ProcessRef
-
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
+    from .identity import Address, ProcessRef
+
 VOTERS_WANTED: Final = 3
 MOST_VOTER_SETS: Final = 6
 
