Read and check what operators declare

Cause: the daemons and the operator's tool need one validated form of profiles, services and data centre states. Field names equal those of the YAML, so that a problem's path is a path in the file. Ruled out: pydantic's own data classes inside, since frozen slotted ones cost less and need no pydantic to be built. Aliases that lead to themselves and keys that stand twice are found on the YAML node tree.

--- a/src/balsamstream/config/__init__.py
+++ b/src/balsamstream/config/__init__.py
@@ -1,1 +1,52 @@
 """Validated models of what operators declare."""
+
+from __future__ import annotations
+
+from .address import Address, parse_address
+from .check import check_set
+from .file import LoadedObject, load_file
+from .kind import API_VERSION, Kind, find_kind
+from .objects import (
+    ColdStart,
+    ConfigObject,
+    DataCentre,
+    DataCentreState,
+    Locality,
+    Objectives,
+    Profile,
+    Protocol,
+    Requests,
+    RetryAfter,
+    ServiceSpec,
+    WorkClass,
+)
+from .parse import build_spec, find_object_kind, parse_object, parse_spec
+from .problem import Problem
+
+__all__ = [
+    "API_VERSION",
+    "Address",
+    "ColdStart",
+    "ConfigObject",
+    "DataCentre",
+    "DataCentreState",
+    "Kind",
+    "LoadedObject",
+    "Locality",
+    "Objectives",
+    "Problem",
+    "Profile",
+    "Protocol",
+    "Requests",
+    "RetryAfter",
+    "ServiceSpec",
+    "WorkClass",
+    "build_spec",
+    "check_set",
+    "find_kind",
+    "find_object_kind",
+    "load_file",
+    "parse_address",
+    "parse_object",
+    "parse_spec",
+]
--- /dev/null
+++ b/src/balsamstream/config/address.py
@@ -0,0 +1,64 @@
+"""Addresses of processes: an IP number and a port."""
+
+from __future__ import annotations
+
+import ipaddress
+from typing import Final, NamedTuple
+
+from returns.result import Failure, Result, Success
+
+LARGEST_PORT: Final = 65_535
+
+
+class Address(NamedTuple):
+    """An IP number and a port, usable as a socket address.
+
+    Attributes
+    ----------
+    ip : str
+        IPv4 or IPv6 number in its shortest text form.
+    port : int
+        1 to 65535.
+    """
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        """Write the address as ``ip:port``, with brackets around IPv6."""
+        if ":" in self.ip:
+            return f"[{self.ip}]:{self.port}"
+        return f"{self.ip}:{self.port}"
+
+
+def parse_address(text: str) -> Result[Address, str]:
+    """Read ``ip:port`` or ``[ip]:port``.
+
+    Parameters
+    ----------
+    text : str
+        The address as an operator wrote it.
+
+    Returns
+    -------
+    Result[Address, str]
+        The address, or what is wrong with the text.
+    """
+    ip_text, separator, port_text = text.rpartition(":")
+    if not separator:
+        return Failure(f"{text!r} has no port, write it as IP:PORT")
+    if ip_text.startswith("[") and ip_text.endswith("]"):
+        ip_text = ip_text[1:-1]
+    try:
+        ip = ipaddress.ip_address(ip_text)
+    except ValueError:
+        return Failure(f"{ip_text!r} is not an IP number")
+    if not (port_text.isascii() and port_text.isdigit()):
+        return Failure(f"{port_text!r} is not a port number")
+    port = int(port_text)
+    if not 1 <= port <= LARGEST_PORT:
+        return Failure(f"port {port} is not within 1 to {LARGEST_PORT}")
+    return Success(Address(str(ip), port))
+
+
+__all__ = ["LARGEST_PORT", "Address", "parse_address"]
--- /dev/null
+++ b/src/balsamstream/config/check.py
@@ -0,0 +1,106 @@
+"""Checks over a set of declared objects."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .objects import ConfigObject, Profile, ServiceSpec
+from .parse import find_object_kind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from .address import Address
+    from .file import LoadedObject
+    from .kind import Kind
+    from .problem import Problem
+
+
+def check_set(
+    loaded: Sequence[LoadedObject], held: Iterable[ConfigObject] = ()
+) -> list[Problem]:
+    """Check declared objects against each other and against those in force.
+
+    Parameters
+    ----------
+    loaded : sequence of LoadedObject
+        The objects that are to be applied.
+    held : iterable of ConfigObject
+        The objects that the platform holds; those that `loaded` replaces do
+        not count.
+
+    Returns
+    -------
+    list of Problem
+        A name that stands twice, a service that names no profile, an address
+        of two services.
+    """
+    replaced = {(entry.kind, entry.item.name) for entry in loaded}
+    kept = [item for item in held if _identify(item) not in replaced]
+    return [
+        *_check_names(loaded),
+        *_check_profiles(loaded, kept),
+        *_check_addresses(loaded, kept),
+    ]
+
+
+def _identify(item: ConfigObject) -> tuple[Kind, str]:
+    return find_object_kind(item), item.name
+
+
+def _check_names(loaded: Sequence[LoadedObject]) -> list[Problem]:
+    problems: list[Problem] = []
+    first: dict[tuple[Kind, str], LoadedObject] = {}
+    for entry in loaded:
+        key = _identify(entry.item)
+        if key not in first:
+            first[key] = entry
+            continue
+        other = first[key].document
+        text = (
+            f"{entry.kind.value} {entry.item.name} stands twice, first at "
+            f"{other.file}:{other.find_line('metadata.name')}"
+        )
+        problems.append(entry.report("metadata.name", text))
+    return problems
+
+
+def _check_profiles(
+    loaded: Sequence[LoadedObject], kept: Sequence[ConfigObject]
+) -> list[Problem]:
+    items = [*(entry.item for entry in loaded), *kept]
+    names = {item.name for item in items if isinstance(item, Profile)}
+    problems: list[Problem] = []
+    for entry in loaded:
+        if not isinstance(entry.item, ServiceSpec) or entry.item.profile in names:
+            continue
+        text = f"no profile is named {entry.item.profile}"
+        problems.append(entry.report("spec.profile", text))
+    return problems
+
+
+def _check_addresses(
+    loaded: Sequence[LoadedObject], kept: Sequence[ConfigObject]
+) -> list[Problem]:
+    users: dict[Address, str] = {
+        item.address: f"service {item.name} on the platform"
+        for item in kept
+        if isinstance(item, ServiceSpec)
+    }
+    problems: list[Problem] = []
+    for entry in loaded:
+        if not isinstance(entry.item, ServiceSpec):
+            continue
+        user = users.get(entry.item.address)
+        if user is not None:
+            text = f"address {entry.item.address} is used by {user}"
+            problems.append(entry.report("spec.address", text))
+            continue
+        document = entry.document
+        line = document.find_line("spec.address")
+        place = f"{document.file}:{line}"
+        users[entry.item.address] = f"service {entry.item.name} at {place}"
+    return problems
+
+
+__all__ = ["check_set"]
--- /dev/null
+++ b/src/balsamstream/config/document.py
@@ -0,0 +1,140 @@
+"""YAML documents that keep the line of each field."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import yaml  # type: ignore[import-untyped]
+from returns.result import Failure, Result, Success
+
+from .problem import Problem
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """One document of a YAML file.
+
+    Attributes
+    ----------
+    file : str
+        Path of the file.
+    value : object
+        What the document holds.
+    lines : dict of str to int
+        Line of each field by its path, such as ``spec.address``, from 1.
+    """
+
+    file: str
+    value: Any
+    lines: dict[str, int]
+
+    def find_line(self, field: str) -> int:
+        """Find the line of a field, or that of the nearest field around it."""
+        path = field
+        while path:
+            if path in self.lines:
+                return self.lines[path]
+            path = path.rpartition(".")[0]
+        return self.lines.get("", 0)
+
+    def locate(self, problems: Iterable[Problem]) -> list[Problem]:
+        """Give the problems of this document their file and line."""
+        return [
+            replace(problem, file=self.file, line=self.find_line(problem.field))
+            for problem in problems
+        ]
+
+
+def read_documents(path: Path | str) -> Result[list[Document], list[Problem]]:
+    """Read every document of a YAML file.
+
+    Parameters
+    ----------
+    path : Path or str
+        The file, in UTF-8.
+
+    Returns
+    -------
+    Result[list[Document], list[Problem]]
+        The documents that are not empty, or why the file can't be read.
+    """
+    file = str(path)
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        return Failure([Problem(file, 0, "", error.strerror or str(error))])
+    except UnicodeDecodeError:
+        return Failure([Problem(file, 0, "", "the file is not UTF-8 text")])
+    return read_text(file, text)
+
+
+def read_text(file: str, text: str) -> Result[list[Document], list[Problem]]:
+    """Read every document of a YAML text, as `read_documents` does."""
+    documents: list[Document] = []
+    problems: list[Problem] = []
+    try:
+        loader = yaml.SafeLoader(text)
+        while loader.check_node():
+            node = loader.get_node()
+            walk = _Walk(file)
+            walk.visit(node, "")
+            problems.extend(walk.problems)
+            value = loader.construct_document(node)
+            if value is not None:
+                documents.append(Document(file, value, walk.lines))
+    except yaml.MarkedYAMLError as error:
+        mark = error.problem_mark
+        line = mark.line + 1 if mark is not None else 0
+        problems.append(Problem(file, line, "", error.problem or "not YAML"))
+    except yaml.YAMLError as error:
+        problems.append(Problem(file, 0, "", str(error).partition("\n")[0]))
+    except (ValueError, RecursionError) as error:
+        problems.append(Problem(file, 0, "", f"not YAML: {error}"))
+    if problems:
+        return Failure(problems)
+    return Success(documents)
+
+
+class _Walk:
+    """Collects the lines of the fields under a node."""
+
+    def __init__(self, file: str) -> None:
+        self.file = file
+        self.lines: dict[str, int] = {}
+        self.problems: list[Problem] = []
+        self._seen: set[int] = set()
+
+    def visit(self, node: yaml.Node, path: str) -> None:
+        self.lines.setdefault(path, node.start_mark.line + 1)
+        # An alias may lead back to a node that holds it.
+        if id(node) in self._seen:
+            return
+        self._seen.add(id(node))
+        if isinstance(node, yaml.MappingNode):
+            self._visit_mapping(node, path)
+        if isinstance(node, yaml.SequenceNode):
+            for index, part in enumerate(node.value):
+                self.visit(part, _join(path, str(index)))
+
+    def _visit_mapping(self, node: yaml.MappingNode, path: str) -> None:
+        keys: set[str] = set()
+        for key, value in node.value:
+            field = _join(path, str(key.value))
+            line = key.start_mark.line + 1
+            if field in keys:
+                self.problems.append(Problem(self.file, line, field, "stands twice"))
+            keys.add(field)
+            self.lines[field] = line
+            self.visit(value, field)
+
+
+def _join(path: str, part: str) -> str:
+    return f"{path}.{part}" if path else part
+
+
+__all__ = ["Document", "read_documents", "read_text"]
--- /dev/null
+++ b/src/balsamstream/config/file.py
@@ -0,0 +1,96 @@
+"""Files of declared objects."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Result, Success
+
+from .document import Document, read_documents
+from .parse import find_object_kind, parse_object
+from .problem import Problem
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from .kind import Kind
+    from .objects import ConfigObject
+
+
+@dataclass(frozen=True, slots=True)
+class LoadedObject:
+    """A declared object and where it was read.
+
+    Attributes
+    ----------
+    item : ConfigObject
+        The object.
+    document : Document
+        The document it was read from.
+    version : int or None
+        Version that the writer asked to replace, where the file gives one.
+    """
+
+    item: ConfigObject
+    document: Document
+    version: int | None = None
+
+    @property
+    def kind(self) -> Kind:
+        """Kind of the object."""
+        return find_object_kind(self.item)
+
+    def report(self, field: str, text: str) -> Problem:
+        """Build a problem at a field of this object."""
+        document = self.document
+        return Problem(document.file, document.find_line(field), field, text)
+
+
+def load_file(path: Path | str) -> Result[list[LoadedObject], list[Problem]]:
+    """Read and validate each object of a YAML file of many documents.
+
+    Parameters
+    ----------
+    path : Path or str
+        The file.
+
+    Returns
+    -------
+    Result[list[LoadedObject], list[Problem]]
+        The objects in the file's order, or every problem with its file, line
+        and field.
+    """
+    match read_documents(path):
+        case Success(documents):
+            return _load_documents(str(path), documents)
+        case Failure(problems):
+            return Failure(problems)
+    raise AssertionError("unreachable")
+
+
+def _load_documents(
+    file: str, documents: list[Document]
+) -> Result[list[LoadedObject], list[Problem]]:
+    loaded: list[LoadedObject] = []
+    problems: list[Problem] = []
+    for document in documents:
+        if not isinstance(document.value, dict):
+            text = "a document has to be a mapping"
+            problems.append(Problem(file, document.find_line(""), "", text))
+            continue
+        match parse_object(document.value):
+            case Success(item):
+                version = document.value["metadata"].get("resourceVersion")
+                number = int(version) if version is not None else None
+                loaded.append(LoadedObject(item, document, number))
+            case Failure(found):
+                problems.extend(document.locate(found))
+    if not documents:
+        problems.append(Problem(file, 0, "", "the file holds no object"))
+    if problems:
+        return Failure(problems)
+    return Success(loaded)
+
+
+__all__ = ["LoadedObject", "load_file"]
--- /dev/null
+++ b/src/balsamstream/config/problem.py
@@ -0,0 +1,85 @@
+"""What is wrong with a file or an object, and where."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from pydantic import ValidationError
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One fault of a declared object or of the settings.
+
+    Attributes
+    ----------
+    file : str
+        Path of the file, empty where the object came from no file.
+    line : int
+        Line counted from 1, or 0 where it is not known.
+    field : str
+        Path of the field, such as ``spec.cold_start.ramp_s``.
+    text : str
+        What is wrong.
+    """
+
+    file: str
+    line: int
+    field: str
+    text: str
+
+    def __str__(self) -> str:
+        """Write the problem as ``file:line: field: text``."""
+        place = self.file
+        if self.line:
+            place = f"{place}:{self.line}"
+        return ": ".join(part for part in (place, self.field, self.text) if part)
+
+
+def collect_problems(
+    error: ValidationError, prefix: Sequence[str] = ()
+) -> list[Problem]:
+    """Turn the findings of a model into problems without a place.
+
+    Parameters
+    ----------
+    error : ValidationError
+        What pydantic raised.
+    prefix : sequence of str
+        Path of the model within the whole document.
+
+    Returns
+    -------
+    list of Problem
+        One for each finding, in the order of the fields.
+    """
+    problems: list[Problem] = []
+    for finding in error.errors(include_url=False):
+        path = [*prefix, *(str(part) for part in finding["loc"])]
+        text = _word_finding(finding["type"], finding["msg"])
+        if "input" in finding and finding["type"] not in _WITHOUT_INPUT:
+            text = f"{text}, got {finding['input']!r:.60}"
+        problems.append(Problem("", 0, ".".join(path), text))
+    return problems
+
+
+_WITHOUT_INPUT = frozenset({"missing", "extra_forbidden", "value_error"})
+
+
+def _word_finding(kind: str, message: str) -> str:
+    match kind:
+        case "extra_forbidden":
+            return "unknown field"
+        case "missing":
+            return "required field is missing"
+        case "value_error":
+            return message.removeprefix("Value error, ")
+        case _:
+            return message[:1].lower() + message[1:]
+
+
+__all__ = ["Problem", "collect_problems"]
--- /dev/null
+++ b/src/balsamstream/config/schema.py
@@ -0,0 +1,209 @@
+"""Models that validate declared objects at the border."""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, Final
+
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    BeforeValidator,
+    ConfigDict,
+    Field,
+    model_validator,
+)
+from returns.result import Failure, Success
+
+from .address import Address, parse_address
+from .objects import (
+    ColdStart,
+    DataCentre,
+    DataCentreState,
+    Locality,
+    Objectives,
+    Profile,
+    Protocol,
+    Requests,
+    RetryAfter,
+    ServiceSpec,
+    WorkClass,
+)
+
+NAME_PATTERN: Final = r"^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$"
+LONGEST_DEADLINE_MS: Final = 600_000
+LONGEST_TIME_S: Final = 86_400.0
+MOST_CHOICES: Final = 4
+MOST_PER_SLOT: Final = 1_000_000
+
+
+def _read_address(value: Any) -> Address:  # noqa: ANN401 - whatever the file held
+    if not isinstance(value, str):
+        raise ValueError("an address is text of the form IP:PORT")
+    match parse_address(value):
+        case Success(Address() as address):
+            return address
+        case Failure(text):
+            raise ValueError(text)
+    raise AssertionError("unreachable")
+
+
+def _check_shed(order: tuple[WorkClass, ...]) -> tuple[WorkClass, ...]:
+    if sorted(item.value for item in order) != sorted(item.value for item in WorkClass):
+        names = ", ".join(item.value for item in WorkClass)
+        raise ValueError(f"each of {names} has to stand once")
+    return order
+
+
+Name = Annotated[str, Field(pattern=NAME_PATTERN)]
+AddressField = Annotated[Address, BeforeValidator(_read_address)]
+Count = Annotated[int, Field(strict=True, ge=1, le=MOST_PER_SLOT)]
+Milliseconds = Annotated[int, Field(strict=True, ge=1, le=LONGEST_DEADLINE_MS)]
+Seconds = Annotated[
+    float, Field(strict=True, ge=0, le=LONGEST_TIME_S, allow_inf_nan=False)
+]
+Share = Annotated[float, Field(strict=True, ge=0, le=1, allow_inf_nan=False)]
+
+
+class Model(BaseModel):
+    """Base of the models: unknown fields are faults."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Metadata(Model):
+    """Metadata of an object."""
+
+    name: Name
+    resourceVersion: str | None = Field(  # noqa: N815 - the platform's own name
+        default=None, pattern=r"^[0-9]+$"
+    )
+    annotations: dict[str, str] = Field(default_factory=dict)
+
+
+class ColdStartModel(Model):
+    """Border form of ``ColdStart``."""
+
+    initial_share: Annotated[Share, Field(gt=0)] = 0.05
+    ramp_s: Seconds = 10.0
+
+    def convert(self) -> ColdStart:
+        """Build the data class."""
+        return ColdStart(self.initial_share, self.ramp_s)
+
+
+class RetryAfterModel(Model):
+    """Border form of ``RetryAfter``."""
+
+    least: Seconds = 1.0
+    most: Seconds = 4.0
+
+    @model_validator(mode="after")
+    def _check_order(self) -> RetryAfterModel:
+        if self.least > self.most:
+            raise ValueError(f"least {self.least} is above most {self.most}")
+        return self
+
+    def convert(self) -> RetryAfter:
+        """Build the data class."""
+        return RetryAfter(self.least, self.most)
+
+
+class ObjectivesModel(Model):
+    """Border form of ``Objectives``."""
+
+    availability: Annotated[Share, Field(gt=0, lt=1)] = 0.999
+    latency_ms: Milliseconds = 100
+
+    def convert(self) -> Objectives:
+        """Build the data class."""
+        return Objectives(self.availability, self.latency_ms)
+
+
+class ProfileModel(Model):
+    """Border form of ``Profile``: the ``spec`` of the object."""
+
+    requests: Requests = Requests.BY_METHOD
+    deadline_ms: Milliseconds = 2_000
+    flow_idle_s: Annotated[Seconds, Field(gt=0)] = 900.0
+    flows_per_slot: Count = 1_000
+    in_flight_per_slot: Count = 32
+    choices: Annotated[int, Field(strict=True, ge=1, le=MOST_CHOICES)] = 2
+    locality: Locality = Locality.NONE
+    cold_start: ColdStartModel = Field(default_factory=ColdStartModel)
+    drain_s: Seconds = 60.0
+    retry_budget: Share = 0.1
+    shed: Annotated[tuple[WorkClass, ...], AfterValidator(_check_shed)] = (
+        WorkClass.NEW_FLOW,
+        WorkClass.REPEATABLE,
+        WorkClass.NON_REPEATABLE,
+    )
+    retry_after_s: RetryAfterModel = Field(default_factory=RetryAfterModel)
+    objectives: ObjectivesModel = Field(default_factory=ObjectivesModel)
+
+    @model_validator(mode="after")
+    def _check_latency(self) -> ProfileModel:
+        if self.objectives.latency_ms > self.deadline_ms:
+            raise ValueError(
+                f"objectives.latency_ms {self.objectives.latency_ms} "
+                f"is above deadline_ms {self.deadline_ms}"
+            )
+        return self
+
+    def convert(self, name: str) -> Profile:
+        """Build the data class."""
+        return Profile(
+            name=name,
+            requests=self.requests,
+            deadline_ms=self.deadline_ms,
+            flow_idle_s=self.flow_idle_s,
+            flows_per_slot=self.flows_per_slot,
+            in_flight_per_slot=self.in_flight_per_slot,
+            choices=self.choices,
+            locality=self.locality,
+            cold_start=self.cold_start.convert(),
+            drain_s=self.drain_s,
+            retry_budget=self.retry_budget,
+            shed=self.shed,
+            retry_after_s=self.retry_after_s.convert(),
+            objectives=self.objectives.convert(),
+        )
+
+
+class ServiceModel(Model):
+    """Border form of ``ServiceSpec``: the ``spec`` of the object."""
+
+    address: AddressField
+    profile: Name
+    protocol: Protocol = Protocol.COAP
+
+    def convert(self, name: str) -> ServiceSpec:
+        """Build the data class."""
+        return ServiceSpec(name, self.address, self.profile, self.protocol)
+
+
+class DataCentreModel(Model):
+    """Border form of ``DataCentre``: the ``spec`` of the object."""
+
+    state: DataCentreState
+
+    def convert(self, name: str) -> DataCentre:
+        """Build the data class."""
+        return DataCentre(name, self.state)
+
+
+__all__ = [
+    "AddressField",
+    "ColdStartModel",
+    "Count",
+    "DataCentreModel",
+    "Metadata",
+    "Milliseconds",
+    "Model",
+    "Name",
+    "ObjectivesModel",
+    "ProfileModel",
+    "RetryAfterModel",
+    "Seconds",
+    "ServiceModel",
+    "Share",
+]
--- /dev/null
+++ b/tests/config/test_file.py
@@ -0,0 +1,145 @@
+"""Files of declared objects are read whole or refused with places."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+from returns.result import Failure, Success
+
+from balsamstream.config import (
+    Address,
+    DataCentre,
+    DataCentreState,
+    LoadedObject,
+    Problem,
+    Profile,
+    ServiceSpec,
+    build_spec,
+    check_set,
+    load_file,
+    parse_spec,
+)
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+HEADER = "apiVersion: balsamstream/v1\n"
+COUNTER = HEADER + "kind: Profile\nmetadata: {name: counter}\nspec: {}\n"
+COMPTOIR = (
+    HEADER
+    + "kind: Service\nmetadata: {name: comptoir}\n"
+    + 'spec: {address: "127.0.0.1:5683", profile: counter}\n'
+)
+MEDINA = HEADER + "kind: DataCentre\nmetadata: {name: medina}\nspec: {state: out}\n"
+
+
+def write(folder: Path, *documents: str) -> Path:
+    path = folder / "objects.yaml"
+    path.write_text("---\n".join(documents), encoding="utf-8")
+    return path
+
+
+def load(path: Path) -> list[LoadedObject]:
+    result = load_file(path)
+    assert isinstance(result, Success), result
+    return result.unwrap()
+
+
+def fail(path: Path) -> list[Problem]:
+    result = load_file(path)
+    assert isinstance(result, Failure), result
+    return result.failure()
+
+
+def test_reads_every_kind_with_defaults(tmp_path: Path) -> None:
+    items = [entry.item for entry in load(write(tmp_path, COUNTER, COMPTOIR, MEDINA))]
+    assert items == [
+        Profile("counter"),
+        ServiceSpec("comptoir", Address("127.0.0.1", 5683), "counter"),
+        DataCentre("medina", DataCentreState.OUT),
+    ]
+
+
+def test_spec_survives_a_round_trip(tmp_path: Path) -> None:
+    for entry in load(write(tmp_path, COUNTER, COMPTOIR, MEDINA)):
+        again = parse_spec(entry.kind, entry.item.name, build_spec(entry.item))
+        assert again == Success(entry.item)
+
+
+def test_problem_names_file_line_and_field(tmp_path: Path) -> None:
+    profile = COUNTER.replace("{}", "\n  cold_start:\n    ramp_s: -1\n  colour: red")
+    path = write(tmp_path, MEDINA, profile)
+    problems = fail(path)
+    assert [(p.file, p.line, p.field) for p in problems] == [
+        (str(path), 11, "spec.cold_start.ramp_s"),
+        (str(path), 12, "spec.colour"),
+    ]
+    assert str(problems[1]) == f"{path}:12: spec.colour: unknown field"
+
+
+@pytest.mark.parametrize(
+    ("spec", "field"),
+    [
+        ("{deadline_ms: true}", "spec.deadline_ms"),
+        ("{deadline_ms: '5'}", "spec.deadline_ms"),
+        ("{choices: 5}", "spec.choices"),
+        ("{retry_budget: .nan}", "spec.retry_budget"),
+        ("{retry_after_s: {least: 5, most: 4}}", "spec.retry_after_s"),
+        ("{shed: [new-flow, new-flow, repeatable]}", "spec.shed"),
+        ("{objectives: {availability: 1}}", "spec.objectives.availability"),
+        ("{deadline_ms: 50}", "spec"),
+        ("{requests: sometimes}", "spec.requests"),
+        ("[]", "spec"),
+    ],
+)
+def test_refuses_a_wrong_profile(tmp_path: Path, spec: str, field: str) -> None:
+    problems = fail(write(tmp_path, COUNTER.replace("{}", spec)))
+    assert [problem.field for problem in problems] == [field]
+
+
+@pytest.mark.parametrize(
+    ("text", "line", "field"),
+    [
+        ("", 0, ""),
+        ("just text", 1, ""),
+        ("a: [1\nb: 2", 2, ""),
+        (COUNTER.replace("Profile", "View"), 2, "kind"),
+        (COUNTER.replace("/v1", "/v2"), 1, "apiVersion"),
+        (COUNTER.replace("counter", "Counter!"), 3, "metadata.name"),
+        (COUNTER + "kind: Service\n", 5, "kind"),
+        (COMPTOIR.replace("127.0.0.1:5683", "localhost:5683"), 4, "spec.address"),
+        (COMPTOIR.replace("5683", "70000"), 4, "spec.address"),
+        ("a: &a [*a]", 1, "a"),
+    ],
+)
+def test_refuses_a_wrong_document(
+    tmp_path: Path, text: str, line: int, field: str
+) -> None:
+    problems = fail(write(tmp_path, text))
+    assert (line, field) in [(problem.line, problem.field) for problem in problems]
+
+
+def test_refuses_a_missing_file(tmp_path: Path) -> None:
+    assert len(fail(tmp_path / "none.yaml")) == 1
+
+
+def test_set_has_no_service_without_profile(tmp_path: Path) -> None:
+    loaded = load(write(tmp_path, COMPTOIR))
+    assert [problem.field for problem in check_set(loaded)] == ["spec.profile"]
+    assert check_set(loaded, [Profile("counter")]) == []
+
+
+def test_set_has_no_name_or_address_twice(tmp_path: Path) -> None:
+    other = COMPTOIR.replace("comptoir", "etiquettes")
+    loaded = load(write(tmp_path, COUNTER, COMPTOIR, COMPTOIR, other))
+    fields = [problem.field for problem in check_set(loaded)]
+    assert fields == ["metadata.name", "spec.address", "spec.address"]
+
+
+def test_set_knows_addresses_of_services_in_force(tmp_path: Path) -> None:
+    loaded = load(write(tmp_path, COUNTER, COMPTOIR))
+    held = [ServiceSpec("guides", Address("127.0.0.1", 5683), "counter")]
+    assert [problem.field for problem in check_set(loaded, held)] == ["spec.address"]
+    replaced = [ServiceSpec("comptoir", Address("127.0.0.1", 5683), "old")]
+    assert check_set(loaded, replaced) == []
