Give messages their bytes on the wire

Packets, answers and refusals go in fixed headers by struct, all else in thrift's accelerated binary protocol. The generated code does not check required fields of nested structures when it is read by the C decoder, so each conversion validates its own. Messages beyond 1,200 bytes are compressed and cut into fragments.

--- /dev/null
+++ b/src/balsamstream/wire/control.py
@@ -0,0 +1,335 @@
+"""Control messages in thrift's binary protocol, behind one byte for the type."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Final
+
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.transport.TTransport import TMemoryBuffer
+
+from balsamstream.core.identity import FlowKey, RequestKey
+from balsamstream.core.message import (
+    Changes,
+    ChangesAsk,
+    ClaimAsk,
+    ClaimOutcome,
+    ClaimReply,
+    ConfigObject,
+    HolderAsk,
+    HolderReply,
+    LoadReport,
+    Ping,
+    Pong,
+    ReportAsk,
+    ReportReply,
+    SealAsk,
+    SealReply,
+    ViewAsk,
+    ViewPush,
+)
+
+from .error import MalformedMessage
+from .generated.control import ttypes
+from .member import (
+    read_ref,
+    read_version,
+    read_view,
+    write_ref,
+    write_version,
+    write_view,
+)
+from .number import to_signed, to_unsigned
+
+if TYPE_CHECKING:
+    from balsamstream.core.message import Message
+
+    from .structure import Structure
+
+MOST_CONTROL_BYTES: Final = 262_144
+
+_STRUCTS: Final = {
+    16: ttypes.ViewAsk,
+    17: ttypes.ViewPush,
+    18: ttypes.ReportAsk,
+    19: ttypes.ReportReply,
+    20: ttypes.HolderAsk,
+    21: ttypes.HolderReply,
+    22: ttypes.LoadReport,
+    23: ttypes.Ping,
+    24: ttypes.Pong,
+    25: ttypes.ClaimAsk,
+    26: ttypes.ClaimReply,
+    27: ttypes.SealAsk,
+    28: ttypes.SealReply,
+    29: ttypes.ChangesAsk,
+    30: ttypes.Changes,
+}
+_TYPES: Final = {struct: number for number, struct in _STRUCTS.items()}
+
+
+def encode_control(message: Message) -> bytes:
+    """Write a control message.
+
+    Raises
+    ------
+    MalformedMessage
+        If the message is of the packet path, a field exceeds its size, or the
+        whole exceeds ``MOST_CONTROL_BYTES``.
+    """
+    try:
+        struct = _write_struct(message)
+        buffer = TMemoryBuffer()
+        struct.write(TBinaryProtocolAccelerated(buffer))
+    except MalformedMessage:
+        raise
+    except Exception as error:
+        raise MalformedMessage("control-field") from error
+    data: bytes = bytes((_TYPES[type(struct)],)) + buffer.getvalue()
+    if len(data) > MOST_CONTROL_BYTES:
+        raise MalformedMessage("control-too-long")
+    return data
+
+
+def decode_control(data: bytes) -> Message:
+    """Read a control message.
+
+    Raises
+    ------
+    MalformedMessage
+        If the bytes are no control message.
+    """
+    found = _STRUCTS.get(data[0]) if data else None
+    if found is None or len(data) > MOST_CONTROL_BYTES:
+        raise MalformedMessage("control-type")
+    struct = found()
+    protocol = TBinaryProtocolAccelerated(
+        TMemoryBuffer(data[1:]),
+        string_length_limit=len(data),
+        container_length_limit=len(data),
+    )
+    try:
+        struct.read(protocol)
+        struct.validate()
+        return _read_struct(struct)
+    except Exception as error:
+        # thrift reports bad bytes by EOFError, TypeError, MemoryError and its own.
+        raise MalformedMessage("control") from error
+
+
+def _write_struct(message: Message) -> Structure:
+    match message:
+        case ViewAsk() | ViewPush():
+            return _write_view_message(message)
+        case ReportAsk() | ReportReply() | HolderAsk() | HolderReply():
+            return _write_flow_message(message)
+        case ClaimAsk() | ClaimReply() | SealAsk() | SealReply():
+            return _write_claim_message(message)
+        case LoadReport(service, host, load, flows, in_flight):
+            return ttypes.LoadReport(service, host, load, flows, in_flight)
+        case Ping(number):
+            return ttypes.Ping(to_signed(number))
+        case Pong(number, ref):
+            return ttypes.Pong(to_signed(number), write_ref(ref))
+        case ChangesAsk(have, service):
+            return ttypes.ChangesAsk(have, service)
+        case Changes(since, up_to, full, more, objects):
+            written = [_write_object(found) for found in objects]
+            return ttypes.Changes(since, up_to, full, more, written)
+        case _:
+            raise MalformedMessage("no-control-message")
+
+
+def _write_view_message(message: ViewAsk | ViewPush) -> Structure:
+    match message:
+        case ViewAsk(service, have):
+            return ttypes.ViewAsk(service, write_version(have))
+        case ViewPush(view, out, data_centres_version):
+            return ttypes.ViewPush(write_view(view), sorted(out), data_centres_version)
+
+
+def _write_flow_message(
+    message: ReportAsk | ReportReply | HolderAsk | HolderReply,
+) -> Structure:
+    match message:
+        case ReportAsk(service, version, owner, page):
+            return ttypes.ReportAsk(
+                service, write_version(version), write_ref(owner), page
+            )
+        case ReportReply(service, version, holder, page, pages, flows):
+            return ttypes.ReportReply(
+                service,
+                write_version(version),
+                write_ref(holder),
+                page,
+                pages,
+                [to_signed(flow) for flow in flows],
+            )
+        case HolderAsk(service, flow):
+            return ttypes.HolderAsk(service, to_signed(flow))
+        case HolderReply(service, flow, member, name):
+            return ttypes.HolderReply(service, to_signed(flow), write_ref(member), name)
+
+
+def _write_claim_message(
+    message: ClaimAsk | ClaimReply | SealAsk | SealReply,
+) -> Structure:
+    match message:
+        case ClaimAsk(service, epoch, request, claimant):
+            return ttypes.ClaimAsk(
+                service, epoch, to_signed(request), write_ref(claimant)
+            )
+        case ClaimReply(service, epoch, request, claimant, voter, outcome, holder):
+            return ttypes.ClaimReply(
+                service,
+                epoch,
+                to_signed(request),
+                write_ref(claimant),
+                write_ref(voter),
+                outcome.value,
+                write_ref(holder),
+            )
+        case SealAsk(service, epoch, asker, page):
+            return ttypes.SealAsk(service, epoch, write_ref(asker), page)
+        case SealReply(service, epoch, voter, active_epoch, page, pages, claims):
+            return ttypes.SealReply(
+                service,
+                epoch,
+                write_ref(voter),
+                active_epoch,
+                page,
+                pages,
+                [
+                    ttypes.Claim(to_signed(request), write_ref(claimant))
+                    for request, claimant in claims
+                ],
+            )
+
+
+def _read_struct(struct: Structure) -> Message:
+    match struct:
+        case ttypes.ViewAsk() | ttypes.ViewPush():
+            return _read_view_message(struct)
+        case (
+            ttypes.ReportAsk()
+            | ttypes.ReportReply()
+            | ttypes.HolderAsk()
+            | ttypes.HolderReply()
+        ):
+            return _read_flow_message(struct)
+        case ttypes.LoadReport():
+            return LoadReport(
+                struct.service_name,
+                struct.host,
+                struct.load,
+                struct.flows,
+                struct.in_flight,
+            )
+        case ttypes.Ping():
+            return Ping(to_unsigned(struct.number))
+        case ttypes.Pong():
+            return Pong(to_unsigned(struct.number), read_ref(struct.ref))
+        case ttypes.ChangesAsk():
+            return ChangesAsk(struct.have, struct.service_name)
+        case ttypes.Changes():
+            objects = tuple(_read_object(found) for found in struct.objects)
+            return Changes(
+                struct.since, struct.up_to, struct.full, struct.more, objects
+            )
+        case _:
+            return _read_claim_message(struct)
+
+
+def _read_view_message(struct: Structure) -> Message:
+    match struct:
+        case ttypes.ViewAsk():
+            return ViewAsk(struct.service_name, read_version(struct.have))
+        case _:
+            return ViewPush(
+                read_view(struct.view),
+                frozenset(struct.out),
+                struct.data_centres_version,
+            )
+
+
+def _read_flow_message(struct: Structure) -> Message:
+    match struct:
+        case ttypes.ReportAsk():
+            return ReportAsk(
+                struct.service_name,
+                read_version(struct.version),
+                read_ref(struct.owner),
+                struct.page,
+            )
+        case ttypes.ReportReply():
+            return ReportReply(
+                struct.service_name,
+                read_version(struct.version),
+                read_ref(struct.holder),
+                struct.page,
+                struct.pages,
+                tuple(FlowKey(to_unsigned(flow)) for flow in struct.flows),
+            )
+        case ttypes.HolderAsk():
+            return HolderAsk(struct.service_name, FlowKey(to_unsigned(struct.flow)))
+        case _:
+            return HolderReply(
+                struct.service_name,
+                FlowKey(to_unsigned(struct.flow)),
+                read_ref(struct.member),
+                struct.holder,
+            )
+
+
+def _read_claim_message(struct: Structure) -> Message:
+    match struct:
+        case ttypes.ClaimAsk():
+            return ClaimAsk(
+                struct.service_name,
+                struct.epoch,
+                RequestKey(to_unsigned(struct.request)),
+                read_ref(struct.claimant),
+            )
+        case ttypes.ClaimReply():
+            return ClaimReply(
+                struct.service_name,
+                struct.epoch,
+                RequestKey(to_unsigned(struct.request)),
+                read_ref(struct.claimant),
+                read_ref(struct.voter),
+                ClaimOutcome(struct.outcome),
+                read_ref(struct.holder),
+            )
+        case ttypes.SealAsk():
+            return SealAsk(
+                struct.service_name, struct.epoch, read_ref(struct.asker), struct.page
+            )
+        case _:
+            return SealReply(
+                struct.service_name,
+                struct.epoch,
+                read_ref(struct.voter),
+                struct.active_epoch,
+                struct.page,
+                struct.pages,
+                tuple(
+                    (RequestKey(to_unsigned(claim.request)), read_ref(claim.claimant))
+                    for claim in struct.claims
+                ),
+            )
+
+
+def _write_object(found: ConfigObject) -> Structure:
+    spec = None if found.spec is None else json.dumps(found.spec)
+    return ttypes.ConfigObject(found.kind, found.name, found.version, spec)
+
+
+def _read_object(struct: Structure) -> ConfigObject:
+    struct.validate()
+    spec = None if struct.spec_json is None else json.loads(struct.spec_json)
+    if spec is not None and not isinstance(spec, dict):
+        raise MalformedMessage("object-spec")
+    return ConfigObject(struct.kind, struct.name, struct.version, spec)
+
+
+__all__ = ["MOST_CONTROL_BYTES", "decode_control", "encode_control"]
--- /dev/null
+++ b/src/balsamstream/wire/fragment.py
@@ -0,0 +1,151 @@
+"""Messages beyond one datagram, in compressed fragments."""
+
+from __future__ import annotations
+
+import struct
+import zlib
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+from .control import MOST_CONTROL_BYTES
+from .error import MalformedMessage
+
+if TYPE_CHECKING:
+    from collections.abc import Hashable
+
+FRAGMENT_TYPE: Final = 4
+MOST_DATAGRAM_BYTES: Final = 1_200
+MOST_FRAGMENTS: Final = 256
+MOST_PARTIAL_PER_SENDER: Final = 4
+MOST_SENDERS: Final = 64
+FRAGMENT_AGE_S: Final = 3.0
+
+_HEADER: Final = struct.Struct("!BIHH")
+CHUNK_BYTES: Final = MOST_DATAGRAM_BYTES - _HEADER.size
+
+
+def split_message(data: bytes, number: int) -> list[bytes]:
+    """Cut a message into fragments, or leave it whole where it fits a datagram.
+
+    Parameters
+    ----------
+    data : bytes
+        The message.
+    number : int
+        Tells the fragments of one message from another's; 32 bits of it count.
+
+    Raises
+    ------
+    MalformedMessage
+        If the message takes more than ``MOST_FRAGMENTS``.
+    """
+    if len(data) <= MOST_DATAGRAM_BYTES:
+        return [data]
+    packed = zlib.compress(data, 1)
+    count = -(-len(packed) // CHUNK_BYTES)
+    if count > MOST_FRAGMENTS or len(data) > MOST_CONTROL_BYTES:
+        raise MalformedMessage("too-many-fragments")
+    fragments = []
+    for index in range(count):
+        chunk = packed[index * CHUNK_BYTES : (index + 1) * CHUNK_BYTES]
+        header = _HEADER.pack(FRAGMENT_TYPE, number & 0xFFFFFFFF, index, count)
+        fragments.append(header + chunk)
+    return fragments
+
+
+@dataclass(slots=True)
+class _Partial:
+    started: float
+    count: int
+    chunks: dict[int, bytes] = field(default_factory=dict)
+
+
+class Reassembler:
+    """Joins fragments; bounded in senders, messages, bytes and age."""
+
+    def __init__(self) -> None:
+        self._senders: OrderedDict[Hashable, OrderedDict[int, _Partial]] = OrderedDict()
+
+    def __len__(self) -> int:
+        return sum(len(partials) for partials in self._senders.values())
+
+    def add(self, sender: Hashable, fragment: bytes, now: float) -> bytes | None:
+        """Keep a fragment; return the message once it is whole.
+
+        Raises
+        ------
+        MalformedMessage
+            If the bytes are no fragment or the joined ones no message.
+        """
+        number, index, count = _read_header(fragment)
+        partials = self._find_partials(sender)
+        partial = partials.get(number)
+        if partial is None or partial.count != count or _is_old(partial, now):
+            partial = _Partial(now, count)
+            partials.pop(number, None)
+            partials[number] = partial
+            if len(partials) > MOST_PARTIAL_PER_SENDER:
+                partials.popitem(last=False)
+        partial.chunks[index] = fragment[_HEADER.size :]
+        if len(partial.chunks) < count:
+            return None
+        del partials[number]
+        return _join(partial)
+
+    def forget_old(self, now: float) -> None:
+        """Drop what stayed incomplete beyond ``FRAGMENT_AGE_S``."""
+        for sender, partials in list(self._senders.items()):
+            for number, partial in list(partials.items()):
+                if _is_old(partial, now):
+                    del partials[number]
+            if not partials:
+                del self._senders[sender]
+
+    def _find_partials(self, sender: Hashable) -> OrderedDict[int, _Partial]:
+        partials = self._senders.get(sender)
+        if partials is not None:
+            self._senders.move_to_end(sender)
+            return partials
+        if len(self._senders) >= MOST_SENDERS:
+            self._senders.popitem(last=False)
+        partials = OrderedDict()
+        self._senders[sender] = partials
+        return partials
+
+
+def _is_old(partial: _Partial, now: float) -> bool:
+    return now - partial.started > FRAGMENT_AGE_S
+
+
+def _read_header(fragment: bytes) -> tuple[int, int, int]:
+    try:
+        _, number, index, count = _HEADER.unpack_from(fragment)
+    except struct.error as error:
+        raise MalformedMessage("fragment") from error
+    if not 0 < count <= MOST_FRAGMENTS or index >= count:
+        raise MalformedMessage("fragment")
+    if len(fragment) > MOST_DATAGRAM_BYTES:
+        raise MalformedMessage("fragment")
+    return number, index, count
+
+
+def _join(partial: _Partial) -> bytes:
+    packed = b"".join(partial.chunks[index] for index in range(partial.count))
+    unpacker = zlib.decompressobj()
+    try:
+        data = unpacker.decompress(packed, MOST_CONTROL_BYTES)
+    except zlib.error as error:
+        raise MalformedMessage("fragment") from error
+    if not unpacker.eof:
+        raise MalformedMessage("fragment")
+    return data
+
+
+__all__ = [
+    "FRAGMENT_AGE_S",
+    "FRAGMENT_TYPE",
+    "MOST_DATAGRAM_BYTES",
+    "Reassembler",
+    "split_message",
+]
--- /dev/null
+++ b/src/balsamstream/wire/packet.py
@@ -0,0 +1,276 @@
+"""Packets, answers and refusals in fixed binary headers.
+
+They make up nearly all datagrams, so they are packed by ``struct`` and not by the
+codec of the control messages; ``docs/design/wire.md`` compares the costs.
+"""
+
+from __future__ import annotations
+
+import struct
+from socket import inet_aton, inet_ntoa
+from typing import Any, Final
+
+from balsamstream.core.identity import Address, FlowKey
+from balsamstream.core.message import Answer, Packet, PacketFlag, Refusal, RequestKind
+from balsamstream.core.routing import RoutingVersion
+from balsamstream.core.verdict import MayHaveRun, NotRun
+
+from .error import MalformedMessage
+
+PACKET_TYPE: Final = 1
+ANSWER_TYPE: Final = 2
+REFUSAL_TYPE: Final = 3
+
+MOST_PAYLOAD_BYTES: Final = 65_000
+"""A datagram is at most 65,507 bytes with all headers."""
+
+MOST_REASON_BYTES: Final = 64
+MOST_CACHED: Final = 65_536
+
+# type, kind, flags, hops, service, flow, request, deadline, view, data centres,
+# caller, via
+_PACKET: Final = struct.Struct("!BBBBIQQIIQ4sH4sH")
+# type, service, flow, view, data centres, caller
+_ANSWER: Final = struct.Struct("!BIQIQ4sH")
+# an answer's fields, may have run, retry after in seconds, length of the reason
+_REFUSAL: Final = struct.Struct("!BIQIQ4sHBdB")
+
+_KINDS: Final = tuple(RequestKind)
+_FLAGS: Final = tuple(PacketFlag(bits) for bits in range(4))
+
+_ip_by_bytes: dict[bytes, str] = {}
+_bytes_by_ip: dict[str, bytes] = {}
+_versions: dict[tuple[int, int], RoutingVersion] = {}
+
+
+def encode_packet(packet: Packet) -> bytes:
+    """Write a packet.
+
+    Raises
+    ------
+    MalformedMessage
+        If a field or the payload exceeds its size.
+    """
+    caller = packet.caller
+    via = packet.via
+    version = packet.version
+    payload = packet.payload
+    if len(payload) > MOST_PAYLOAD_BYTES:
+        raise MalformedMessage("payload-too-long")
+    try:
+        header = _PACKET.pack(
+            PACKET_TYPE,
+            packet.kind,
+            packet.flags,
+            packet.hops,
+            packet.service,
+            packet.flow,
+            packet.request,
+            packet.deadline_ms,
+            version.view,
+            version.data_centres,
+            _bytes_by_ip.get(caller.ip) or _pack_ip(caller.ip),
+            caller.port,
+            _bytes_by_ip.get(via.ip) or _pack_ip(via.ip),
+            via.port,
+        )
+    except (struct.error, OSError) as error:
+        raise MalformedMessage("packet-field") from error
+    return header + payload
+
+
+def decode_packet(data: bytes) -> Packet:
+    """Read a packet.
+
+    Raises
+    ------
+    MalformedMessage
+        If the bytes are no packet.
+    """
+    try:
+        (
+            _,
+            kind,
+            flags,
+            hops,
+            service,
+            flow,
+            request,
+            deadline_ms,
+            view,
+            data_centres,
+            caller_ip,
+            caller_port,
+            via_ip,
+            via_port,
+        ) = _PACKET.unpack_from(data)
+        return Packet(
+            service,
+            flow,
+            Address(_ip_by_bytes.get(caller_ip) or _read_ip(caller_ip), caller_port),
+            Address(_ip_by_bytes.get(via_ip) or _read_ip(via_ip), via_port),
+            _versions.get((view, data_centres)) or _read_version(view, data_centres),
+            _KINDS[kind],
+            request,
+            deadline_ms,
+            data[_PACKET.size :],
+            hops,
+            _FLAGS[flags],
+        )
+    except (struct.error, IndexError) as error:
+        raise MalformedMessage("packet") from error
+
+
+def encode_answer(answer: Answer) -> bytes:
+    """Write an answer.
+
+    Raises
+    ------
+    MalformedMessage
+        If a field or the payload exceeds its size.
+    """
+    if len(answer.payload) > MOST_PAYLOAD_BYTES:
+        raise MalformedMessage("payload-too-long")
+    try:
+        header = _ANSWER.pack(
+            ANSWER_TYPE,
+            answer.service,
+            answer.flow,
+            answer.version.view,
+            answer.version.data_centres,
+            _pack_ip(answer.caller.ip),
+            answer.caller.port,
+        )
+    except (struct.error, OSError) as error:
+        raise MalformedMessage("answer-field") from error
+    return header + answer.payload
+
+
+def decode_answer(data: bytes) -> Answer:
+    """Read an answer.
+
+    Raises
+    ------
+    MalformedMessage
+        If the bytes are no answer.
+    """
+    try:
+        _, service, flow, view, data_centres, ip, port = _ANSWER.unpack_from(data)
+    except struct.error as error:
+        raise MalformedMessage("answer") from error
+    return Answer(
+        service,
+        FlowKey(flow),
+        Address(_read_ip(ip), port),
+        _read_version(view, data_centres),
+        data[_ANSWER.size :],
+    )
+
+
+def encode_refusal(refusal: Refusal) -> bytes:
+    """Write a refusal; a reason beyond 64 bytes is cut.
+
+    Raises
+    ------
+    MalformedMessage
+        If a field or the head exceeds its size.
+    """
+    if len(refusal.head) > MOST_PAYLOAD_BYTES:
+        raise MalformedMessage("payload-too-long")
+    match refusal.verdict:
+        case NotRun(retry_after_s, reason):
+            may_have_run = 0
+        case MayHaveRun(reason):
+            may_have_run = 1
+            retry_after_s = 0.0
+    text = reason.encode(errors="replace")[:MOST_REASON_BYTES]
+    try:
+        header = _REFUSAL.pack(
+            REFUSAL_TYPE,
+            refusal.service,
+            refusal.flow,
+            refusal.version.view,
+            refusal.version.data_centres,
+            _pack_ip(refusal.caller.ip),
+            refusal.caller.port,
+            may_have_run,
+            retry_after_s,
+            len(text),
+        )
+    except (struct.error, OSError) as error:
+        raise MalformedMessage("refusal-field") from error
+    return header + text + refusal.head
+
+
+def decode_refusal(data: bytes) -> Refusal:
+    """Read a refusal.
+
+    Raises
+    ------
+    MalformedMessage
+        If the bytes are no refusal.
+    """
+    try:
+        fields = _REFUSAL.unpack_from(data)
+    except struct.error as error:
+        raise MalformedMessage("refusal") from error
+    _, service, flow, view, data_centres, ip, port, may_have_run, retry, size = fields
+    end = _REFUSAL.size + size
+    finite = 0.0 <= retry < float("inf")
+    if size > MOST_REASON_BYTES or len(data) < end or may_have_run > 1 or not finite:
+        raise MalformedMessage("refusal")
+    reason = data[_REFUSAL.size : end].decode(errors="replace")
+    return Refusal(
+        service,
+        FlowKey(flow),
+        Address(_read_ip(ip), port),
+        _read_version(view, data_centres),
+        MayHaveRun(reason) if may_have_run else NotRun(retry, reason),
+        data[end:],
+    )
+
+
+def _pack_ip(ip: str) -> bytes:
+    packed = _bytes_by_ip.get(ip)
+    if packed is None:
+        packed = inet_aton(ip)
+        _make_room(_bytes_by_ip)
+        _bytes_by_ip[ip] = packed
+    return packed
+
+
+def _read_ip(packed: bytes) -> str:
+    ip = _ip_by_bytes.get(packed)
+    if ip is None:
+        ip = inet_ntoa(packed)
+        _make_room(_ip_by_bytes)
+        _ip_by_bytes[packed] = ip
+    return ip
+
+
+def _read_version(view: int, data_centres: int) -> RoutingVersion:
+    version = _versions.get((view, data_centres))
+    if version is None:
+        version = RoutingVersion(view, data_centres)
+        _make_room(_versions)
+        _versions[view, data_centres] = version
+    return version
+
+
+def _make_room(cache: dict[Any, Any]) -> None:
+    if len(cache) >= MOST_CACHED:
+        cache.clear()
+
+
+__all__ = [
+    "ANSWER_TYPE",
+    "MOST_PAYLOAD_BYTES",
+    "PACKET_TYPE",
+    "REFUSAL_TYPE",
+    "decode_answer",
+    "decode_packet",
+    "decode_refusal",
+    "encode_answer",
+    "encode_packet",
+    "encode_refusal",
+]
--- /dev/null
+++ b/tests/wire/test_fragment.py
@@ -0,0 +1,90 @@
+"""Messages in fragments."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from balsamstream.wire.control import MOST_CONTROL_BYTES
+from balsamstream.wire.error import MalformedMessage
+from balsamstream.wire.fragment import (
+    FRAGMENT_AGE_S,
+    MOST_DATAGRAM_BYTES,
+    MOST_PARTIAL_PER_SENDER,
+    MOST_SENDERS,
+    Reassembler,
+    split_message,
+)
+
+
+def make_bytes(size: int) -> bytes:
+    return random.Random(size).randbytes(size)
+
+
+@pytest.mark.parametrize("size", [1201, 5000, 60_000, 262_144])
+def test_fragments_in_any_order_give_the_message(size: int) -> None:
+    message = make_bytes(size)
+    fragments = split_message(message, 2**40 + 7)
+    assert all(len(fragment) <= MOST_DATAGRAM_BYTES for fragment in fragments)
+    random.Random(1).shuffle(fragments)
+    joined = Reassembler()
+    results = [joined.add("a", fragment, 0.0) for fragment in fragments]
+    assert results[:-1] == [None] * (len(fragments) - 1)
+    assert results[-1] == message
+    assert len(joined) == 0
+
+
+def test_short_messages_stay_whole() -> None:
+    assert split_message(b"short", 1) == [b"short"]
+
+
+def test_messages_beyond_the_bound_are_refused() -> None:
+    with pytest.raises(MalformedMessage):
+        split_message(make_bytes(MOST_CONTROL_BYTES + 1), 1)
+
+
+def test_repeated_fragments_do_not_complete_a_message() -> None:
+    first, *_ = split_message(make_bytes(5000), 1)
+    joined = Reassembler()
+    assert [joined.add("a", first, 0.0) for _ in range(9)] == [None] * 9
+
+
+def test_fragments_of_two_senders_are_never_mixed() -> None:
+    fragments = split_message(make_bytes(2000), 1)
+    joined = Reassembler()
+    assert joined.add("a", fragments[0], 0.0) is None
+    assert joined.add("b", fragments[1], 0.0) is None
+
+
+def test_incomplete_messages_are_bounded_in_count_and_age() -> None:
+    joined = Reassembler()
+    for sender in range(MOST_SENDERS * 2):
+        for number in range(MOST_PARTIAL_PER_SENDER * 2):
+            first, *_ = split_message(make_bytes(5000), number)
+            joined.add(sender, first, 0.0)
+    assert len(joined) == MOST_SENDERS * MOST_PARTIAL_PER_SENDER
+    joined.forget_old(FRAGMENT_AGE_S + 0.1)
+    assert len(joined) == 0
+
+
+def test_late_fragments_do_not_complete_an_old_message() -> None:
+    first, second = split_message(make_bytes(2000), 1)
+    joined = Reassembler()
+    joined.add("a", first, 0.0)
+    assert joined.add("a", second, FRAGMENT_AGE_S + 0.1) is None
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.lists(st.binary(max_size=40), max_size=10), st.binary(max_size=4))
+def test_any_fragment_raises_only_the_typed_error(
+    tails: list[bytes], number: bytes
+) -> None:
+    joined = Reassembler()
+    for tail in [*tails, number + b"\0\0\0\1junk", b"\0\0\0\0\0\0\0\1junk"]:
+        try:
+            joined.add("a", b"\4" + tail, 0.0)
+        except MalformedMessage:
+            continue
