Judge admission from answers and take configuration by rising versions

Cause: health pages lag or mislead, so limits rise on answers only; one kind of message (Changes) carries views and configuration alike. Ruled out: a message of its own for views, which would double the rule that versions never fall.

--- /dev/null
+++ b/src/balsamstream/core/admission.py
@@ -0,0 +1,178 @@
+"""How much work a host is given: limits start low and rise on evidence."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from ..config.objects import Profile
+    from .identity import FlowKey, RequestKey
+
+FAILURES_TO_HALVE: Final = 3
+"""Failures in a row that halve the limits."""
+
+FAILURES_TO_RESTART: Final = 6
+"""Failures in a row that count as an unannounced restart."""
+
+MOST_PENDING: Final = 100_000
+SLOW_FACTOR: Final = 4.0
+LATENCY_WEIGHT: Final = 0.05
+LEAST_SLOW_S: Final = 0.02
+
+
+class Health(Enum):
+    """What the latest answers show about the backend server."""
+
+    SOUND = "sound"
+    FAILING = "failing"
+    RESTARTED = "restarted"
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What the host bears now."""
+
+    flows: int
+    in_flight: int
+
+
+class Admission:
+    """Limits of one backend server, judged from its answers alone.
+
+    Parameters
+    ----------
+    profile : Profile
+        Full limits for each slot and the cold start's ramp.
+    slots : int
+        Slots of the host.
+    now : float
+        Start of the ramp, in seconds.
+    """
+
+    def __init__(self, profile: Profile, slots: int, now: float) -> None:
+        self.profile = profile
+        self.slots = slots
+        self.share = profile.cold_start.initial_share
+        self.latency_s = 0.0
+        self.health = Health.SOUND
+        self._in_flight: dict[tuple[FlowKey, RequestKey], float] = {}
+        self._order: deque[tuple[float, tuple[FlowKey, RequestKey]]] = deque()
+        self._failures = 0
+        self._answers = 0
+        self._slow = 0
+        self._ticked = now
+
+    @property
+    def in_flight(self) -> int:
+        """Requests delivered and not yet answered."""
+        return len(self._in_flight)
+
+    @property
+    def limits(self) -> Limits:
+        """Limits at the present share; at least one of each."""
+        full_flows = self.slots * self.profile.flows_per_slot
+        full_in_flight = self.slots * self.profile.in_flight_per_slot
+        return Limits(
+            max(1, int(self.share * full_flows)),
+            max(1, int(self.share * full_in_flight)),
+        )
+
+    def compute_load(self, flows: int) -> float:
+        """Return the greater of the two limits' used shares; 1 is full."""
+        limits = self.limits
+        return max(flows / limits.flows, self.in_flight / limits.in_flight)
+
+    def allows_flow(self, flows: int) -> bool:
+        """Tell whether one more flow may be taken."""
+        return flows < self.limits.flows and self.allows_request()
+
+    def allows_request(self) -> bool:
+        """Tell whether one more request may be delivered."""
+        return self.in_flight < self.limits.in_flight
+
+    def start_request(self, flow: FlowKey, request: RequestKey, now: float) -> None:
+        """Note a request that goes to the backend server."""
+        key = (flow, request)
+        if key in self._in_flight or len(self._order) >= MOST_PENDING:
+            return
+        self._in_flight[key] = now
+        self._order.append((now, key))
+
+    def finish_request(self, flow: FlowKey, request: RequestKey, now: float) -> float:
+        """Note an answer; return its latency in seconds, or -1 if none was due."""
+        started = self._in_flight.pop((flow, request), None)
+        if started is None:
+            return -1.0
+        latency = now - started
+        self._failures = 0
+        self.health = Health.SOUND
+        self._answers += 1
+        self._learn_latency(latency)
+        return latency
+
+    def drop_request(self, flow: FlowKey, request: RequestKey) -> None:
+        """Forget a request whose flow ended."""
+        self._in_flight.pop((flow, request), None)
+
+    def expire_requests(self, now: float) -> list[tuple[FlowKey, RequestKey]]:
+        """Return requests past the deadline and count them as failures."""
+        deadline_s = self.profile.deadline_ms / 1000
+        expired: list[tuple[FlowKey, RequestKey]] = []
+        while self._order and self._order[0][0] <= now - deadline_s:
+            started, key = self._order.popleft()
+            if self._in_flight.get(key) != started:
+                continue
+            del self._in_flight[key]
+            expired.append(key)
+            self.count_failure()
+        return expired
+
+    def count_failure(self) -> None:
+        """Lower the limits at once on a failed request."""
+        self._failures += 1
+        initial = self.profile.cold_start.initial_share
+        if self._failures >= FAILURES_TO_RESTART:
+            self.health = Health.RESTARTED
+            self.share = initial
+            return
+        if self._failures >= FAILURES_TO_HALVE:
+            self.health = Health.FAILING
+            self.share = max(initial, self.share / 2)
+
+    def restart(self) -> None:
+        """Begin a cold start: the backend server was seen to have restarted."""
+        self.share = self.profile.cold_start.initial_share
+        self._in_flight.clear()
+        self._order.clear()
+        self._failures = 0
+        self.health = Health.SOUND
+        self.latency_s = 0.0
+
+    def tick(self, now: float) -> None:
+        """Raise the limits where the last interval's answers allow it."""
+        elapsed = max(0.0, now - self._ticked)
+        self._ticked = now
+        answers, slow = self._answers, self._slow
+        self._answers = 0
+        self._slow = 0
+        if answers == 0 or self._failures > 0 or self.share >= 1.0:
+            return
+        if slow > answers / 2:
+            return
+        cold = self.profile.cold_start
+        rise = (1.0 - cold.initial_share) * min(elapsed, 1.0) / cold.ramp_s
+        self.share = min(1.0, self.share + rise)
+
+    def _learn_latency(self, latency: float) -> None:
+        if self.latency_s == 0.0:
+            self.latency_s = latency
+            return
+        if latency > max(SLOW_FACTOR * self.latency_s, LEAST_SLOW_S):
+            self._slow += 1
+        self.latency_s += LATENCY_WEIGHT * (latency - self.latency_s)
+
+
+__all__ = ["Admission", "Health", "Limits"]
--- /dev/null
+++ b/src/balsamstream/core/catalogue.py
@@ -0,0 +1,343 @@
+"""Configuration as accepted: versions only rise."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Final
+
+import xxhash
+from returns.result import Failure, Success
+
+from ..config.kind import Kind
+from ..config.objects import DataCentre, DataCentreState, Profile, ServiceSpec
+from ..config.parse import parse_spec
+from .identity import Address, ProcessRef, parse_address
+from .message import Changes, ChangesAsk, ConfigObject
+from .view import Member, MemberState, View, Voter, VoterSet
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+OBJECTS_PER_REPLY: Final = 200
+SYSTEM_KINDS: Final = frozenset({Kind.VIEW, Kind.BALANCER})
+
+
+def number_service(name: str) -> int:
+    """Return the 64-bit number by which packets name a service."""
+    return xxhash.xxh3_64_intdigest(name.encode())
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceEntry:
+    """A declared service with the profile in force for it."""
+
+    number: int
+    spec: ServiceSpec
+    profile: Profile
+
+
+@dataclass(frozen=True, slots=True)
+class BalancerEntry:
+    """A balancer that announced itself."""
+
+    ref: ProcessRef
+    address: Address
+    data_centre: str
+
+    def as_voter(self) -> Voter:
+        """Return this balancer as a voter."""
+        return Voter(self.ref, self.address, self.data_centre)
+
+
+class Catalogue:
+    """All objects known, each in its latest version.
+
+    An object is taken only with a version above the one held, a deletion included,
+    and one that fails validation leaves the last valid one in force. ``complete_to``
+    is the version up to which nothing is missing.
+
+    Parameters
+    ----------
+    service : str
+        The one service an agent follows; empty for all.
+    """
+
+    def __init__(self, service: str = "") -> None:
+        self.service = service
+        self.complete_to = 0
+        self.rejected = 0
+        self._objects: OrderedDict[tuple[str, str], ConfigObject] = OrderedDict()
+        self._profiles: dict[str, Profile] = {}
+        self._specs: dict[str, ServiceSpec] = {}
+        self._views: dict[str, View] = {}
+        self._balancers: dict[str, BalancerEntry] = {}
+        self._data_centres: dict[str, DataCentre] = {}
+        self._by_number: dict[int, str] = {}
+        self._by_address: dict[Address, str] = {}
+        self.data_centres_version = 0
+
+    @property
+    def out(self) -> frozenset[str]:
+        """Names of the data centres that operators took out."""
+        return frozenset(
+            name
+            for name, data_centre in self._data_centres.items()
+            if data_centre.state is DataCentreState.OUT
+        )
+
+    @property
+    def balancers(self) -> tuple[BalancerEntry, ...]:
+        """All balancers that announced themselves, sorted by name."""
+        return tuple(self._balancers[name] for name in sorted(self._balancers))
+
+    @property
+    def services(self) -> tuple[ServiceEntry, ...]:
+        """All services whose profile is known, sorted by name."""
+        found = (self.find_service(name) for name in sorted(self._specs))
+        return tuple(entry for entry in found if entry is not None)
+
+    def find_view(self, service: str) -> View | None:
+        """Return a service's latest view."""
+        return self._views.get(service)
+
+    def find_service(self, name: str) -> ServiceEntry | None:
+        """Return a service that is declared and whose profile is known."""
+        spec = self._specs.get(name)
+        if spec is None:
+            return None
+        profile = self._profiles.get(spec.profile)
+        if profile is None:
+            return None
+        return ServiceEntry(number_service(name), spec, profile)
+
+    def find_service_by_number(self, number: int) -> ServiceEntry | None:
+        """Return a service by the number that packets carry."""
+        name = self._by_number.get(number)
+        return None if name is None else self.find_service(name)
+
+    def find_service_by_address(self, address: Address) -> ServiceEntry | None:
+        """Return the service that callers reach by an address."""
+        name = self._by_address.get(address)
+        return None if name is None else self.find_service(name)
+
+    def accept(self, changes: Changes) -> list[ConfigObject]:
+        """Take what is new and return it.
+
+        Parameters
+        ----------
+        changes : Changes
+            From the platform or from another process, in any order and repeated.
+
+        Returns
+        -------
+        list of ConfigObject
+            The objects whose latest version rose, deleted ones with no spec.
+        """
+        taken = [found for found in changes.objects if self._accept_object(found)]
+        if changes.full and changes.up_to >= self.complete_to:
+            taken.extend(self._drop_missing(changes))
+        same_part = changes.service in ("", self.service)
+        if same_part and (changes.full or changes.since <= self.complete_to):
+            self.complete_to = max(self.complete_to, changes.up_to)
+        return taken
+
+    def answer(self, ask: ChangesAsk) -> Changes:
+        """Gather what an asker lacks, oldest first, a bounded part at a time."""
+        wanted = sorted(
+            (found for found in self._objects.values() if self._concerns(found, ask)),
+            key=lambda found: found.version,
+        )
+        later = [found for found in wanted if found.version > ask.have]
+        part = tuple(later[:OBJECTS_PER_REPLY])
+        more = len(later) > len(part)
+        up_to = part[-1].version if more else self.complete_to
+        return Changes(ask.have, up_to, False, more, part, ask.service or self.service)
+
+    def _concerns(self, found: ConfigObject, ask: ChangesAsk) -> bool:
+        if not ask.service:
+            return True
+        if found.kind in (Kind.DATA_CENTRE.value, Kind.PROFILE.value):
+            return True
+        return found.name == ask.service and found.kind != Kind.BALANCER.value
+
+    def _accept_object(self, found: ConfigObject) -> bool:
+        key = (found.kind, found.name)
+        known = self._objects.get(key)
+        if known is not None and known.version >= found.version:
+            return False
+        if not self._apply(found):
+            self.rejected += 1
+            return False
+        self._objects[key] = found
+        return True
+
+    def _drop_missing(self, changes: Changes) -> list[ConfigObject]:
+        present = {(found.kind, found.name) for found in changes.objects}
+        dropped: list[ConfigObject] = []
+        for key, known in list(self._objects.items()):
+            if key in present or known.spec is None or known.version > changes.up_to:
+                continue
+            gone = ConfigObject(known.kind, known.name, changes.up_to, None)
+            self._apply(gone)
+            self._objects[key] = gone
+            dropped.append(gone)
+        return dropped
+
+    def _apply(self, found: ConfigObject) -> bool:
+        try:
+            kind = Kind(found.kind)
+        except ValueError:
+            return False
+        if kind is Kind.DATA_CENTRE:
+            self.data_centres_version = max(self.data_centres_version, found.version)
+        if found.spec is None:
+            self._forget(kind, found.name)
+            return True
+        if kind is Kind.VIEW:
+            return self._apply_view(found.name, found.spec)
+        if kind is Kind.BALANCER:
+            return self._apply_balancer(found.name, found.spec)
+        match parse_spec(kind, found.name, found.spec):
+            case Success(Profile() as profile):
+                self._profiles[found.name] = profile
+            case Success(ServiceSpec() as spec):
+                self._apply_service(spec)
+            case Success(DataCentre() as data_centre):
+                self._data_centres[found.name] = data_centre
+            case Failure(_):
+                return False
+        return True
+
+    def _apply_service(self, spec: ServiceSpec) -> None:
+        self._forget(Kind.SERVICE, spec.name)
+        self._specs[spec.name] = spec
+        self._by_number[number_service(spec.name)] = spec.name
+        self._by_address[Address(*spec.address)] = spec.name
+
+    def _apply_view(self, name: str, spec: Mapping[str, Any]) -> bool:
+        try:
+            view = read_view(name, spec)
+        except (KeyError, TypeError, ValueError):
+            return False
+        known = self._views.get(name)
+        if known is None or view.number > known.number:
+            self._views[name] = view
+        return True
+
+    def _apply_balancer(self, name: str, spec: Mapping[str, Any]) -> bool:
+        try:
+            ref = ProcessRef(name, int(spec["incarnation"]))
+            address = parse_address(spec["address"])
+            self._balancers[name] = BalancerEntry(ref, address, spec["data_centre"])
+        except (KeyError, TypeError, ValueError):
+            return False
+        return True
+
+    def _forget(self, kind: Kind, name: str) -> None:
+        match kind:
+            case Kind.PROFILE:
+                self._profiles.pop(name, None)
+            case Kind.SERVICE:
+                old = self._specs.pop(name, None)
+                if old is None:
+                    return
+                self._by_number.pop(number_service(name), None)
+                self._by_address.pop(Address(*old.address), None)
+            case Kind.DATA_CENTRE:
+                self._data_centres.pop(name, None)
+            case Kind.VIEW:
+                self._views.pop(name, None)
+            case Kind.BALANCER:
+                self._balancers.pop(name, None)
+
+
+def read_view(name: str, spec: Mapping[str, Any]) -> View:
+    """Read a view from its object.
+
+    Raises
+    ------
+    KeyError, TypeError, ValueError
+        If a field is missing or of the wrong kind.
+    """
+    members = tuple(_read_member(entry) for entry in spec.get("members", ()))
+    sets = tuple(
+        VoterSet(
+            int(entry["epoch"]),
+            tuple(_read_voter(voter) for voter in entry["voters"]),
+            float(entry.get("quarantine_s", 0.0)),
+        )
+        for entry in spec.get("voter_sets", ())
+    )
+    return View(name, int(spec["number"]), members, sets)
+
+
+def write_view(view: View) -> dict[str, Any]:
+    """Write a view as the spec of its object."""
+    return {
+        "number": view.number,
+        "members": [
+            {
+                **_write_process(member.ref, member.address, member.data_centre),
+                "slots": member.slots,
+                "state": member.state.value,
+            }
+            for member in view.members
+        ],
+        "voter_sets": [
+            {
+                "epoch": voter_set.epoch,
+                "quarantine_s": voter_set.quarantine_s,
+                "voters": [
+                    _write_process(voter.ref, voter.address, voter.data_centre)
+                    for voter in voter_set.voters
+                ],
+            }
+            for voter_set in view.voter_sets
+        ],
+    }
+
+
+def list_spare_voters(balancers: Iterable[BalancerEntry]) -> tuple[Voter, ...]:
+    """Return the balancers that may vote for a service with too few hosts."""
+    return tuple(entry.as_voter() for entry in balancers)
+
+
+def _read_member(entry: Mapping[str, Any]) -> Member:
+    return Member(
+        ProcessRef(entry["name"], int(entry["incarnation"])),
+        parse_address(entry["address"]),
+        entry["data_centre"],
+        int(entry["slots"]),
+        MemberState(entry["state"]),
+    )
+
+
+def _read_voter(entry: Mapping[str, Any]) -> Voter:
+    return Voter(
+        ProcessRef(entry["name"], int(entry["incarnation"])),
+        parse_address(entry["address"]),
+        entry.get("data_centre", ""),
+    )
+
+
+def _write_process(
+    ref: ProcessRef, address: Address, data_centre: str
+) -> dict[str, Any]:
+    return {
+        "name": ref.name,
+        "incarnation": ref.incarnation,
+        "address": str(address),
+        "data_centre": data_centre,
+    }
+
+
+__all__ = [
+    "BalancerEntry",
+    "Catalogue",
+    "ServiceEntry",
+    "list_spare_voters",
+    "number_service",
+    "read_view",
+    "write_view",
+]
--- a/src/balsamstream/core/message.py
+++ b/src/balsamstream/core/message.py
@@ -12,7 +12,7 @@
     from .identity import ProcessRef
     from .routing import RoutingVersion
     from .verdict import MayHaveRun, NotRun
-    from .view import View, ViewEdit
+    from .view import ViewEdit
 
 
 class RequestKind(IntEnum):
@@ -43,7 +43,7 @@
     Parameters
     ----------
     service : int
-        32-bit hash of the service's name.
+        64-bit hash of the service's name.
     flow : FlowKey
         Flow of the datagram.
     caller : Address
@@ -113,23 +113,6 @@
 # --- membership and flows ----------------------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
-class ViewAsk:
-    """Asks for a view and data centre states of at least a version."""
-
-    service: str
-    have: RoutingVersion
-
-
-@dataclass(frozen=True, slots=True)
-class ViewPush:
-    """A view and the data centre states that go with it."""
-
-    view: View
-    out: frozenset[str]
-    data_centres_version: int
-
-
 @dataclass(frozen=True, slots=True)
 class ReportAsk:
     """The owner of some buckets asks a member which of their flows it holds."""
@@ -172,13 +155,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """How loaded a host is: 0 idle, 1 at what it bears now."""
+    """What a host carries and what it bears now."""
 
     service: str
     host: str
-    load: float
     flows: int
+    flow_limit: int
     in_flight: int
+    in_flight_limit: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -290,8 +274,18 @@
 class Changes:
     """Objects of versions above ``since`` up to ``up_to``.
 
-    ``full`` says that the sender holds nothing besides these objects, so what is
-    missing was deleted.
+    Parameters
+    ----------
+    since, up_to : int
+        Platform versions that the objects lie between.
+    full : bool
+        The sender holds nothing besides these objects, so what is missing was deleted.
+    more : bool
+        Later objects are left; ask again with what is then held.
+    objects : tuple of ConfigObject
+        Oldest first.
+    service : str
+        The one service the objects were chosen for; empty for all.
     """
 
     since: int
@@ -299,14 +293,13 @@
     full: bool
     more: bool
     objects: tuple[ConfigObject, ...]
+    service: str = ""
 
 
 Message = (
     Packet
     | Answer
     | Refusal
-    | ViewAsk
-    | ViewPush
     | ReportAsk
     | ReportReply
     | HolderAsk
@@ -441,6 +434,4 @@
     "SealAsk",
     "SealReply",
     "Send",
-    "ViewAsk",
-    "ViewPush",
 ]
--- a/src/balsamstream/core/routing.py
+++ b/src/balsamstream/core/routing.py
@@ -44,7 +44,7 @@
 
 def compute_flow_key(service: str, caller: Address) -> FlowKey:
     """Hash a service and a caller's address into a flow key."""
-    return FlowKey(xxhash.xxh3_64_intdigest(f"{service}|{caller.ip}|{caller.port}"))
+    return FlowKey(xxhash.xxh3_64_intdigest(f"{service}|{caller}".encode()))
 
 
 def compute_bucket(flow: FlowKey) -> int:
@@ -54,7 +54,7 @@
 
 def score_member(bucket: int, member: Member) -> float:
     """Weighted rendezvous score: the highest scores rank first."""
-    hashed = xxhash.xxh3_64_intdigest(f"{bucket}|{member.ref.name}")
+    hashed = xxhash.xxh3_64_intdigest(f"{bucket}|{member.ref.name}".encode())
     return -member.slots / math.log((hashed + 0.5) / _HASH_RANGE)
 
 
