Place new flows by load and rebuild pins after a routing change

Cause: a bucket's owner must know flows placed elsewhere before it calls one new. Ruled out: numbered pages, since closing flows shift them and one is missed; parts are asked for by the last key instead.

--- /dev/null
+++ b/src/balsamstream/core/flows.py
@@ -0,0 +1,86 @@
+"""The flows that a host holds; this table is the truth about them."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from .identity import Address, FlowKey
+
+
+@dataclass(slots=True)
+class Flow:
+    """One flow held here.
+
+    Parameters
+    ----------
+    caller : Address
+        Where answers go.
+    via : Address
+        Balancer the last datagram entered by.
+    used : float
+        Time of the last datagram of either side, in seconds.
+    """
+
+    caller: Address
+    via: Address
+    used: float
+
+
+class FlowTable:
+    """Held flows, the longest idle first."""
+
+    def __init__(self) -> None:
+        self._flows: OrderedDict[FlowKey, Flow] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._flows)
+
+    def __contains__(self, key: FlowKey) -> bool:
+        return key in self._flows
+
+    def __iter__(self) -> Iterator[FlowKey]:
+        return iter(self._flows)
+
+    def find(self, key: FlowKey) -> Flow | None:
+        """Return a held flow."""
+        return self._flows.get(key)
+
+    def touch(self, key: FlowKey, caller: Address, via: Address, now: float) -> None:
+        """Open a flow, or note a datagram of it."""
+        flow = self._flows.get(key)
+        if flow is None:
+            self._flows[key] = Flow(caller, via, now)
+            return
+        flow.via = via
+        flow.used = now
+        self._flows.move_to_end(key)
+
+    def keep(self, key: FlowKey, now: float) -> Flow | None:
+        """Note a datagram from the backend server."""
+        flow = self._flows.get(key)
+        if flow is None:
+            return None
+        flow.used = now
+        self._flows.move_to_end(key)
+        return flow
+
+    def close(self, key: FlowKey) -> None:
+        """Forget a flow."""
+        self._flows.pop(key, None)
+
+    def list_idle(self, now: float, idle_s: float) -> list[FlowKey]:
+        """Return the flows without a datagram for ``idle_s`` seconds."""
+        idle: list[FlowKey] = []
+        for key, flow in self._flows.items():
+            if flow.used > now - idle_s:
+                break
+            idle.append(key)
+        return idle
+
+
+__all__ = ["Flow", "FlowTable"]
--- /dev/null
+++ b/src/balsamstream/core/load.py
@@ -0,0 +1,58 @@
+"""What is known of the load on the other hosts of a service."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from .message import LoadReport
+
+REPORT_LIFE_S: Final = 5.0
+"""A host not heard of for so long is not chosen for new flows by load."""
+
+
+@dataclass(slots=True)
+class _PeerLoad:
+    report: LoadReport
+    heard: float
+    placed: int
+
+
+class PeerLoads:
+    """The latest load report of each host, and what was placed there since."""
+
+    def __init__(self) -> None:
+        self._peers: dict[str, _PeerLoad] = {}
+
+    def take(self, report: LoadReport, now: float) -> None:
+        """Replace a host's report."""
+        self._peers[report.host] = _PeerLoad(report, now, 0)
+
+    def count_placed(self, host: str) -> None:
+        """Add a flow placed there before its next report."""
+        peer = self._peers.get(host)
+        if peer is not None:
+            peer.placed += 1
+
+    def estimate(self, host: str, now: float) -> float | None:
+        """Return the host's load with one more flow; None if it is not known."""
+        peer = self._peers.get(host)
+        if peer is None or now - peer.heard > REPORT_LIFE_S:
+            return None
+        return estimate_load(
+            peer.report.flows + peer.placed + 1,
+            peer.report.flow_limit,
+            peer.report.in_flight + peer.placed + 1,
+            peer.report.in_flight_limit,
+        )
+
+
+def estimate_load(
+    flows: int, flow_limit: int, in_flight: int, in_flight_limit: int
+) -> float:
+    """Return the greater used share of the two limits; above 1 nothing fits."""
+    return max(flows / max(1, flow_limit), in_flight / max(1, in_flight_limit))
+
+
+__all__ = ["PeerLoads", "estimate_load"]
--- a/src/balsamstream/core/message.py
+++ b/src/balsamstream/core/message.py
@@ -115,23 +115,39 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportAsk:
-    """The owner of some buckets asks a member which of their flows it holds."""
+    """The owner of some buckets asks a member which of their flows it holds.
+
+    Parameters
+    ----------
+    after : int
+        Only flow keys above this one; -1 for the first part.
+    """
 
     service: str
     version: RoutingVersion
     owner: ProcessRef
-    page: int
+    after: int
 
 
 @dataclass(frozen=True, slots=True)
 class ReportReply:
-    """A page of the flows that a member holds for an owner."""
+    """Part of the flows that a member holds for an owner, in rising order.
+
+    Parameters
+    ----------
+    version : RoutingVersion
+        The asked one; zero where a host tells unasked what it placed for an owner.
+    after : int
+        Key that the asker named.
+    more : bool
+        Flows are left; ask again after the last key.
+    """
 
     service: str
     version: RoutingVersion
     holder: ProcessRef
-    page: int
-    pages: int
+    after: int
+    more: bool
     flows: tuple[FlowKey, ...]
 
 
--- /dev/null
+++ b/src/balsamstream/core/ownership.py
@@ -0,0 +1,396 @@
+"""Decides where new flows go and remembers where it put them."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field, replace
+from enum import Enum
+from typing import TYPE_CHECKING, Final
+
+from .load import estimate_load
+from .message import (
+    Count,
+    HolderAsk,
+    HolderReply,
+    PacketFlag,
+    ReportAsk,
+    ReportReply,
+    RequestKind,
+    Send,
+)
+from .routing import RoutingVersion
+
+if TYPE_CHECKING:
+    from .identity import FlowKey, ProcessRef
+    from .message import Action, Packet
+    from .state import AgentState
+    from .view import Member
+
+MOST_PINS: Final = 200_000
+MOST_ASKED_FLOWS: Final = 2_000
+MOST_WAITING_PACKETS: Final = 8
+FLOWS_PER_PART: Final = 120
+FIRST: Final = -1
+NO_VERSION: Final = RoutingVersion(0, 0)
+HOLDER_WAIT_S: Final = 0.2
+REPORT_REPEAT_S: Final = 0.2
+REPORT_GIVE_UP_S: Final = 3.0
+ACTED_REPEAT_S: Final = 1.0
+ACTED_KEPT_S: Final = 30.0
+
+
+class Place(Enum):
+    """What the agent does with a packet whose flow it does not hold."""
+
+    TAKE = "take"
+    REFUSE = "refuse"
+    DROP = "drop"
+    PASSED = "passed"
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """A decision on one packet and the actions that carry it out."""
+
+    packet: Packet
+    place: Place
+    actions: tuple[Action, ...] = ()
+
+
+@dataclass(slots=True)
+class _Asked:
+    """Packets of one flow that wait until the members told who holds it."""
+
+    awaited: set[ProcessRef]
+    until: float
+    packets: list[Packet] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class _Reporting:
+    """Pages of held flows that one member still owes."""
+
+    member: Member
+    began: float
+    asked: float
+    after: int = FIRST
+
+
+class Ownership:
+    """Placement of the flows whose buckets this host owns.
+
+    A routing change moves buckets between hosts. Until each reachable member reported
+    the flows it holds in the buckets gained, an unknown flow is asked for at the
+    members before it counts as new.
+    """
+
+    def __init__(self, state: AgentState) -> None:
+        self._state = state
+        self._pins: OrderedDict[FlowKey, str] = OrderedDict()
+        self._asked: dict[FlowKey, _Asked] = {}
+        self._reporting: dict[ProcessRef, _Reporting] = {}
+        self._acted: OrderedDict[FlowKey, tuple[ProcessRef, float]] = OrderedDict()
+        self._acted_told = 0.0
+
+    @property
+    def is_synced(self) -> bool:
+        """Whether all members reported their flows since the routing last changed."""
+        return not self._reporting
+
+    def find_pin(self, flow: FlowKey) -> str | None:
+        """Return the host that a flow was placed on, as far as known here."""
+        return self._pins.get(flow)
+
+    def start_sync(self, now: float) -> list[Action]:
+        """Ask each reachable member for the flows of the buckets owned here."""
+        me = self._state.config.ref
+        self._reporting = {
+            member.ref: _Reporting(member, now, now)
+            for member in self._state.routing.reachable
+            if member.ref != me
+        }
+        return [self._ask_report(owed) for owed in self._reporting.values()]
+
+    def place(self, packet: Packet, now: float) -> list[Placement]:
+        """Decide on a packet whose flow is not held here."""
+        state = self._state
+        ranked = state.routing.rank(packet.flow)
+        if PacketFlag.PLACED in packet.flags:
+            return [self._take_placed(packet)]
+        if not ranked:
+            return [Placement(packet, Place.REFUSE)]
+        me = state.config.ref
+        owner = ranked[0]
+        acting = PacketFlag.ACTING in packet.flags and owner.ref != me
+        if not acting and owner.ref != me:
+            return [self._pass(packet, owner, PacketFlag.NONE, "passed_to_owner")]
+        pinned = self._find_pinned(packet.flow)
+        if pinned is not None:
+            return [self._pass(packet, pinned, PacketFlag.PLACED, "passed_to_holder")]
+        if acting or not self.is_synced:
+            absent = owner.ref if acting else me
+            return self._ask_holders(packet, absent, now)
+        return [self._place_new(packet, now)]
+
+    def take_holder(self, reply: HolderReply, now: float) -> list[Placement]:
+        """Count a member's word on who holds a flow."""
+        asked = self._asked.get(reply.flow)
+        if asked is None:
+            return []
+        if reply.holder is not None and self._find_member(reply.holder) is not None:
+            self._pin(reply.flow, reply.holder)
+            return self._release(reply.flow, now)
+        asked.awaited.discard(reply.member)
+        if asked.awaited:
+            return []
+        return self._release(reply.flow, now)
+
+    def answer_holder(self, ask: HolderAsk) -> HolderReply:
+        """Say whether a flow is held here, or on which host it was placed."""
+        state = self._state
+        name = state.config.ref.name
+        holder = name if ask.flow in state.flows else self._pins.get(ask.flow)
+        return HolderReply(state.config.service, ask.flow, state.config.ref, holder)
+
+    def answer_report(self, ask: ReportAsk) -> ReportReply | None:
+        """Give the next flows held here whose buckets the asker owns.
+
+        There is no answer while the asker's routing is newer than ours: flows taken
+        under the older one afterwards would be missing from the report.
+        """
+        state = self._state
+        if not state.routing.version.covers(ask.version):
+            return None
+        held = sorted(
+            flow
+            for flow in state.flows
+            if flow > ask.after and self._owns(ask.owner, flow)
+        )
+        part = tuple(held[:FLOWS_PER_PART])
+        return ReportReply(
+            state.config.service,
+            ask.version,
+            state.config.ref,
+            ask.after,
+            len(held) > len(part),
+            part,
+        )
+
+    def take_report(self, reply: ReportReply, now: float) -> list[Action]:
+        """Pin the flows that a member reports."""
+        for flow in reply.flows:
+            if flow not in self._state.flows:
+                self._pin(flow, reply.holder.name)
+        owed = self._reporting.get(reply.holder)
+        if owed is None or reply.version != self._state.routing.version:
+            return []
+        if reply.after != owed.after:
+            return []
+        if not reply.more or not reply.flows:
+            del self._reporting[reply.holder]
+            return []
+        owed.after = reply.flows[-1]
+        owed.asked = now
+        return [self._ask_report(owed)]
+
+    def tick(self, now: float) -> tuple[list[Placement], list[Action]]:
+        """Repeat questions, and decide without members that do not answer."""
+        actions: list[Action] = []
+        for owed in list(self._reporting.values()):
+            if now - owed.began >= REPORT_GIVE_UP_S:
+                del self._reporting[owed.member.ref]
+                actions.append(Count("report_given_up"))
+                continue
+            if now - owed.asked < REPORT_REPEAT_S:
+                continue
+            owed.asked = now
+            actions.append(self._ask_report(owed))
+        placements: list[Placement] = []
+        for flow, asked in list(self._asked.items()):
+            if now >= asked.until:
+                placements += self._release(flow, now)
+        actions += self._tell_acted(now)
+        return placements, actions
+
+    def note_flow(self, flow: FlowKey) -> None:
+        """Forget a pin of a flow that is held here now."""
+        self._pins.pop(flow, None)
+
+    def _owns(self, owner: ProcessRef, flow: FlowKey) -> bool:
+        member = self._state.routing.find_owner(flow)
+        return member is not None and member.ref == owner
+
+    def _ask_report(self, owed: _Reporting) -> Send:
+        state = self._state
+        ask = ReportAsk(
+            state.config.service, state.routing.version, state.config.ref, owed.after
+        )
+        return Send(owed.member.address, ask)
+
+    def _take_placed(self, packet: Packet) -> Placement:
+        admission = self._state.admission
+        if not self._state.takes_flows or admission is None:
+            return Placement(packet, Place.REFUSE)
+        if not admission.allows_flow(len(self._state.flows)):
+            return Placement(packet, Place.REFUSE, (Count("placed_refused"),))
+        return Placement(packet, Place.TAKE)
+
+    def _pass(
+        self, packet: Packet, member: Member, flags: PacketFlag, counter: str
+    ) -> Placement:
+        passed = replace(packet, hops=packet.hops + 1, flags=packet.flags | flags)
+        actions = (Send(member.address, passed), Count(counter))
+        return Placement(packet, Place.PASSED, actions)
+
+    def _find_member(self, name: str) -> Member | None:
+        if name == self._state.config.ref.name:
+            return None
+        return self._state.routing.find_reachable(name)
+
+    def _find_pinned(self, flow: FlowKey) -> Member | None:
+        name = self._pins.get(flow)
+        if name is None:
+            return None
+        member = self._find_member(name)
+        if member is None:
+            del self._pins[flow]
+            return None
+        self._pins.move_to_end(flow)
+        return member
+
+    def _pin(self, flow: FlowKey, host: str) -> None:
+        self._pins[flow] = host
+        self._pins.move_to_end(flow)
+        if len(self._pins) > MOST_PINS:
+            self._pins.popitem(last=False)
+
+    def _ask_holders(
+        self, packet: Packet, absent: ProcessRef, now: float
+    ) -> list[Placement]:
+        asked = self._asked.get(packet.flow)
+        if asked is not None:
+            if len(asked.packets) < MOST_WAITING_PACKETS:
+                asked.packets.append(packet)
+            return []
+        if len(self._asked) >= MOST_ASKED_FLOWS:
+            return [Placement(packet, Place.REFUSE, (Count("asked_table_full"),))]
+        me = self._state.config.ref
+        others = [
+            member
+            for member in self._state.routing.reachable
+            if member.ref not in (me, absent)
+        ]
+        if not others:
+            return [self._place_new(packet, now)]
+        awaited = {member.ref for member in others}
+        self._asked[packet.flow] = _Asked(awaited, now + HOLDER_WAIT_S, [packet])
+        ask = HolderAsk(self._state.config.service, packet.flow)
+        sends = tuple(Send(member.address, ask) for member in others)
+        return [Placement(packet, Place.PASSED, sends)]
+
+    def _release(self, flow: FlowKey, now: float) -> list[Placement]:
+        """Decide on the packets that waited for a flow's holder."""
+        asked = self._asked.pop(flow)
+        placements: list[Placement] = []
+        for packet in asked.packets:
+            pinned = self._find_pinned(flow)
+            if pinned is None:
+                placements.append(self._place_new(packet, now))
+                continue
+            placements.append(
+                self._pass(packet, pinned, PacketFlag.PLACED, "passed_to_holder")
+            )
+        return placements
+
+    def _place_new(self, packet: Packet, now: float) -> Placement:
+        """Put a flow on the least loaded of the hosts that the profile compares."""
+        if packet.kind is RequestKind.NONE:
+            # An acknowledgement or reset opens no flow.
+            return Placement(packet, Place.DROP, (Count("unknown_flow_dropped"),))
+        state = self._state
+        profile = state.profile
+        if profile is None:
+            return Placement(packet, Place.REFUSE)
+        best: Member | None = None
+        best_load = 1.0
+        for member in state.routing.rank(packet.flow)[: profile.choices]:
+            load = self._estimate(member, now)
+            if load is None or load > best_load or (best and load == best_load):
+                continue
+            best, best_load = member, load
+        if best is None:
+            return Placement(packet, Place.REFUSE, (Count("no_host_bears_more"),))
+        if PacketFlag.ACTING in packet.flags:
+            self._note_acted(packet.flow, now)
+        if best.ref == state.config.ref:
+            return Placement(packet, Place.TAKE)
+        self._pin(packet.flow, best.ref.name)
+        state.loads.count_placed(best.ref.name)
+        return self._pass(packet, best, PacketFlag.PLACED, "placed_elsewhere")
+
+    def _estimate(self, member: Member, now: float) -> float | None:
+        state = self._state
+        if member.ref != state.config.ref:
+            return state.loads.estimate(member.ref.name, now)
+        admission = state.admission
+        if admission is None or not state.takes_flows:
+            return None
+        limits = admission.limits
+        return estimate_load(
+            len(state.flows) + 1,
+            limits.flows,
+            admission.in_flight + 1,
+            limits.in_flight,
+        )
+
+    def _note_acted(self, flow: FlowKey, now: float) -> None:
+        owner = self._state.routing.find_owner(flow)
+        if owner is None:
+            return
+        self._acted[flow] = (owner.ref, now)
+        if len(self._acted) > MOST_ASKED_FLOWS:
+            self._acted.popitem(last=False)
+
+    def _tell_acted(self, now: float) -> list[Action]:
+        """Tell an absent owner what was placed for it, so that it knows on return."""
+        while self._acted:
+            flow, (_, placed) = next(iter(self._acted.items()))
+            if placed > now - ACTED_KEPT_S:
+                break
+            del self._acted[flow]
+        if not self._acted or now - self._acted_told < ACTED_REPEAT_S:
+            return []
+        self._acted_told = now
+        return [
+            action
+            for member in self._state.routing.eligible
+            for action in self._tell_owner(member)
+        ]
+
+    def _tell_owner(self, owner: Member) -> list[Send]:
+        by_holder: dict[str, list[FlowKey]] = {}
+        for flow, (ref, _) in self._acted.items():
+            if ref != owner.ref:
+                continue
+            name = self._pins.get(flow, self._state.config.ref.name)
+            by_holder.setdefault(name, []).append(flow)
+        sends: list[Send] = []
+        for name, flows in by_holder.items():
+            holder = self._state.routing.find_reachable(name)
+            if holder is None:
+                continue
+            for first in range(0, len(flows), FLOWS_PER_PART):
+                part = tuple(flows[first : first + FLOWS_PER_PART])
+                note = ReportReply(
+                    self._state.config.service,
+                    NO_VERSION,
+                    holder.ref,
+                    FIRST,
+                    False,
+                    part,
+                )
+                sends.append(Send(owner.address, note))
+        return sends
+
+
+__all__ = ["Ownership", "Place", "Placement"]
--- /dev/null
+++ b/src/balsamstream/core/single_run.py
@@ -0,0 +1,266 @@
+"""Non-repeatable requests on one host: claimed before they run, answered again."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, replace
+from enum import Enum
+from typing import TYPE_CHECKING, Final
+
+from .claim import (
+    CLAIM_KEPT_S,
+    ClaimRound,
+    Lost,
+    Outdated,
+    Refused,
+    Unknown,
+    Won,
+)
+from .identity import NOBODY, ProcessRef
+from .message import (
+    Answer,
+    Count,
+    Deliver,
+    PacketFlag,
+    Send,
+)
+from .verdict import MayHaveRun, NotRun
+
+if TYPE_CHECKING:
+    from .claim import ClaimResult
+    from .identity import RequestKey
+    from .message import Action, ClaimReply, Packet
+    from .state import AgentState
+
+MOST_RECORDS: Final = 20_000
+RECORDS_FOR_REFUSALS: Final = 2_000
+"""Records above the bound that only refusals may use."""
+
+CLAIM_REPEAT_S: Final = 0.1
+CLAIM_GIVE_UP_S: Final = 1.0
+
+
+class Stage(Enum):
+    """How far a request has come on this host."""
+
+    CLAIMING = "claiming"
+    RUNNING = "running"
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    ELSEWHERE = "elsewhere"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True)
+class _Record:
+    packet: Packet
+    stage: Stage
+    began: float
+    asked: float
+    round: ClaimRound | None = None
+    answer: bytes = b""
+    refusal: NotRun | None = None
+    holder: ProcessRef = NOBODY
+
+
+class SingleRun:
+    """Runs each non-repeatable request at most once.
+
+    A request is delivered at the moment its claim is won and never later; a copy that
+    comes afterwards gets the same answer, the same refusal, or is passed to the host
+    that claimed it.
+    """
+
+    def __init__(self, state: AgentState) -> None:
+        self._state = state
+        self._records: OrderedDict[RequestKey, _Record] = OrderedDict()
+        self._claiming: dict[RequestKey, _Record] = {}
+
+    def begin(self, packet: Packet, now: float) -> list[Action]:
+        """Take a copy of a request whose flow is held here."""
+        record = self._records.get(packet.request)
+        if record is not None:
+            record.packet = packet
+            return self._repeat(record)
+        admission = self._state.admission
+        admitted = admission is not None and admission.allows_request()
+        return self._open(packet, admitted, now)
+
+    def refuse(self, packet: Packet, now: float) -> list[Action]:
+        """Refuse a request as not run, once the voters recorded that nobody runs it."""
+        record = self._records.get(packet.request)
+        if record is not None:
+            record.packet = packet
+            return self._repeat(record)
+        return self._open(packet, False, now)
+
+    def take_vote(self, reply: ClaimReply, now: float) -> list[Action]:
+        """Count a voter's reply."""
+        record = self._claiming.get(reply.request)
+        if record is None or record.round is None:
+            return []
+        result = record.round.count(reply)
+        if result is None:
+            return []
+        return self._settle(record, result, now)
+
+    def take_answer(self, request: RequestKey, payload: bytes) -> None:
+        """Keep the backend server's answer for later copies."""
+        record = self._records.get(request)
+        if record is None or record.stage is not Stage.RUNNING:
+            return
+        record.stage = Stage.ANSWERED
+        record.answer = payload
+
+    def give_up(self, request: RequestKey) -> list[Action]:
+        """Tell the caller that a delivered request has no answer in time."""
+        record = self._records.get(request)
+        if record is None or record.stage is not Stage.RUNNING:
+            return []
+        return self._leave_unknown(record, "no answer in time")
+
+    def adopt_view(self, now: float) -> list[Action]:
+        """Go on with open claims at the voters of a later epoch."""
+        actions: list[Action] = []
+        for record in list(self._claiming.values()):
+            sets = self._state.routing.view.voter_sets
+            old = record.round
+            if not sets or (old is not None and old.voters.epoch >= sets[-1].epoch):
+                continue
+            claimant = self._state.config.ref if old is None else old.claimant
+            actions += self._ask_voters(record, claimant, now)
+        return actions
+
+    def tick(self, now: float) -> list[Action]:
+        """Repeat unanswered claims, give up late ones and forget old records."""
+        actions: list[Action] = []
+        for record in list(self._claiming.values()):
+            if now - record.began >= CLAIM_GIVE_UP_S:
+                actions += self._leave_unknown(record, "no majority of voters")
+                continue
+            if record.round is None or now - record.asked < CLAIM_REPEAT_S:
+                continue
+            record.asked = now
+            actions += record.round.ask()
+        self._forget_old(now)
+        return actions
+
+    def _open(self, packet: Packet, admitted: bool, now: float) -> list[Action]:
+        bound = MOST_RECORDS if admitted else MOST_RECORDS + RECORDS_FOR_REFUSALS
+        if len(self._records) >= bound:
+            if admitted:
+                return self._open(packet, False, now)
+            verdict = MayHaveRun("request table full")
+            return [self._state.refuse(packet, verdict), Count("record_table_full")]
+        record = _Record(packet, Stage.CLAIMING, now, now)
+        self._records[packet.request] = record
+        self._claiming[packet.request] = record
+        claimant = self._state.config.ref if admitted else NOBODY
+        admission = self._state.admission
+        if admitted and admission is not None:
+            admission.start_request(packet.flow, packet.request, now)
+        return self._ask_voters(record, claimant, now)
+
+    def _ask_voters(
+        self, record: _Record, claimant: ProcessRef, now: float
+    ) -> list[Action]:
+        sets = self._state.routing.view.voter_sets
+        if not sets:
+            return self._leave_unknown(record, "no voters known")
+        record.asked = now
+        record.round = ClaimRound(
+            self._state.config.service, record.packet.request, claimant, sets[-1]
+        )
+        return list(record.round.ask())
+
+    def _settle(self, record: _Record, result: ClaimResult, now: float) -> list[Action]:
+        match result:
+            case Won():
+                return self._run(record, now)
+            case Refused():
+                return self._mark_refused(record, "host full")
+            case Lost(holder):
+                self._close(record, Stage.ELSEWHERE)
+                record.holder = holder
+                return self._repeat(record)
+            case Outdated():
+                # The view that names the later epoch is asked for by the poll.
+                return [Count("claim_outdated")]
+            case Unknown():
+                return self._leave_unknown(record, "claim contested")
+
+    def _run(self, record: _Record, now: float) -> list[Action]:
+        packet = record.packet
+        left_ms = packet.deadline_ms - int((now - record.began) * 1000)
+        if left_ms <= 0 or packet.flow not in self._state.flows:
+            return self._mark_refused(record, "too late to run")
+        del self._claiming[packet.request]
+        record.stage = Stage.RUNNING
+        record.round = None
+        return [
+            Deliver(packet.flow, packet.caller, packet.request, left_ms, packet.payload)
+        ]
+
+    def _mark_refused(self, record: _Record, reason: str) -> list[Action]:
+        self._close(record, Stage.REFUSED)
+        record.refusal = self._state.draw_not_run(reason)
+        return self._repeat(record)
+
+    def _leave_unknown(self, record: _Record, reason: str) -> list[Action]:
+        self._close(record, Stage.UNKNOWN)
+        return [
+            self._state.refuse(record.packet, MayHaveRun(reason)),
+            Count("may_have_run"),
+        ]
+
+    def _close(self, record: _Record, stage: Stage) -> None:
+        record.stage = stage
+        record.round = None
+        packet = record.packet
+        self._claiming.pop(packet.request, None)
+        if self._state.admission is not None:
+            self._state.admission.drop_request(packet.flow, packet.request)
+
+    def _repeat(self, record: _Record) -> list[Action]:
+        """Answer a copy by what is known of the request."""
+        packet = record.packet
+        state = self._state
+        match record.stage:
+            case Stage.CLAIMING | Stage.RUNNING:
+                return []
+            case Stage.ANSWERED:
+                version = state.routing.version
+                answer = Answer(
+                    state.number, packet.flow, packet.caller, version, record.answer
+                )
+                return [Send(packet.via, answer), Count("answer_repeated")]
+            case Stage.REFUSED:
+                refusal = record.refusal or state.draw_not_run("refused before")
+                return [state.refuse(packet, refusal), Count("refused_not_run")]
+            case Stage.ELSEWHERE:
+                return self._pass_on(record)
+            case Stage.UNKNOWN:
+                verdict = MayHaveRun("outcome not known")
+                return [state.refuse(packet, verdict), Count("may_have_run")]
+
+    def _pass_on(self, record: _Record) -> list[Action]:
+        packet = record.packet
+        member = self._state.routing.find_reachable(record.holder.name)
+        alive = member is not None and member.ref == record.holder
+        if member is None or not alive or member.ref == self._state.config.ref:
+            verdict = MayHaveRun("claimed by a host that is gone")
+            return [self._state.refuse(packet, verdict), Count("may_have_run")]
+        flags = packet.flags | PacketFlag.PLACED
+        passed = replace(packet, hops=packet.hops + 1, flags=flags)
+        return [Send(member.address, passed), Count("passed_to_claimant")]
+
+    def _forget_old(self, now: float) -> None:
+        while self._records:
+            request, record = next(iter(self._records.items()))
+            if record.began > now - CLAIM_KEPT_S:
+                return
+            del self._records[request]
+            self._claiming.pop(request, None)
+
+
+__all__ = ["MOST_RECORDS", "SingleRun", "Stage"]
--- /dev/null
+++ b/src/balsamstream/core/state.py
@@ -0,0 +1,135 @@
+"""What the parts of an agent's decisions share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from .catalogue import Catalogue, number_service
+from .flows import FlowTable
+from .identity import NO_ADDRESS, Address, ProcessRef
+from .load import PeerLoads
+from .message import Refusal, Send
+from .routing import Routing
+from .verdict import MayHaveRun, NotRun
+from .view import View
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from ..config.objects import Profile
+    from .admission import Admission
+    from .message import Packet
+
+HEAD_BYTES = 32
+"""Enough of a datagram for the edge to answer it: CoAP header and longest token."""
+
+
+@dataclass(frozen=True, slots=True)
+class AgentConfig:
+    """What an agent's settings say.
+
+    Parameters
+    ----------
+    ref : ProcessRef
+        Name of the host and this run's incarnation.
+    address : Address
+        Where messages of the system's processes arrive.
+    service : str
+        The one service of the backend server.
+    data_centre : str
+        Name of the data centre.
+    slots : int
+        Weight of the host.
+    peers : tuple of Address
+        Processes that are asked for configuration, balancers as a rule.
+    """
+
+    ref: ProcessRef
+    address: Address
+    service: str
+    data_centre: str
+    slots: int
+    peers: tuple[Address, ...] = ()
+
+
+@dataclass(slots=True)
+class AgentState:
+    """State that several parts of an agent's decisions read."""
+
+    config: AgentConfig
+    random: Random
+    number: int = 0
+    catalogue: Catalogue = field(default_factory=Catalogue)
+    flows: FlowTable = field(default_factory=FlowTable)
+    loads: PeerLoads = field(default_factory=PeerLoads)
+    routing: Routing = field(
+        default_factory=lambda: Routing(View("", 0), frozenset(), 0)
+    )
+    admission: Admission | None = None
+    leaving: bool = False
+
+    @classmethod
+    def create(cls, config: AgentConfig, random: Random) -> AgentState:
+        """Build the state of an agent that knows nothing yet."""
+        return cls(
+            config,
+            random,
+            number_service(config.service),
+            Catalogue(config.service),
+        )
+
+    @property
+    def profile(self) -> Profile | None:
+        """The profile in force for the service, once it is known."""
+        entry = self.catalogue.find_service(self.config.service)
+        return None if entry is None else entry.profile
+
+    @property
+    def is_out(self) -> bool:
+        """Whether operators took this host's data centre out."""
+        return self.config.data_centre in self.routing.out
+
+    @property
+    def takes_flows(self) -> bool:
+        """Whether new flows may be opened here as far as membership goes."""
+        if self.leaving or self.is_out or self.admission is None:
+            return False
+        return any(member.ref == self.config.ref for member in self.routing.eligible)
+
+    def update_routing(self) -> bool:
+        """Compute the routing anew; tell whether it changed."""
+        view = self.catalogue.find_view(self.config.service)
+        if view is None:
+            view = View(self.config.service, 0)
+        version = self.catalogue.data_centres_version
+        out = self.catalogue.out
+        old = self.routing
+        same = old.view == view and old.version.data_centres == version
+        if same and old.out == out:
+            return False
+        self.routing = Routing(view, out, version)
+        return True
+
+    def refuse(self, packet: Packet, verdict: NotRun | MayHaveRun) -> Send:
+        """Tell a packet's caller a verdict, by the balancer it came through."""
+        refusal = Refusal(
+            self.number,
+            packet.flow,
+            packet.caller,
+            self.routing.version,
+            verdict,
+            packet.payload[:HEAD_BYTES],
+        )
+        return Send(packet.via, refusal)
+
+    def draw_not_run(self, reason: str) -> NotRun:
+        """Make a refusal with a time to come back that is spread over callers."""
+        profile = self.profile
+        if profile is None:
+            return NotRun(1.0, reason)
+        spread = profile.retry_after_s
+        return NotRun(self.random.uniform(spread.least, spread.most), reason)
+
+
+__all__ = ["HEAD_BYTES", "NO_ADDRESS", "Address", "AgentConfig", "AgentState"]
