Join an agent's decisions: packets, single runs, membership, sheds

Cause: admission by class of work keeps room for orders; a refused placement may go on once within a budget of retries. Ruled out: an unbounded search for a host.

--- a/src/balsamstream/core/admission.py
+++ b/src/balsamstream/core/admission.py
@@ -7,6 +7,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Final
 
+from ..config.objects import WorkClass
+
 if TYPE_CHECKING:
     from ..config.objects import Profile
     from .identity import FlowKey, RequestKey
@@ -17,6 +19,9 @@
 FAILURES_TO_RESTART: Final = 6
 """Failures in a row that count as an unannounced restart."""
 
+RESERVE_PER_CLASS: Final = 0.1
+"""Share of the limit kept for each class of work that is shed later."""
+
 MOST_PENDING: Final = 100_000
 SLOW_FACTOR: Final = 4.0
 LATENCY_WEIGHT: Final = 0.05
@@ -80,18 +85,24 @@
             max(1, int(self.share * full_in_flight)),
         )
 
-    def compute_load(self, flows: int) -> float:
-        """Return the greater of the two limits' used shares; 1 is full."""
-        limits = self.limits
-        return max(flows / limits.flows, self.in_flight / limits.in_flight)
-
     def allows_flow(self, flows: int) -> bool:
         """Tell whether one more flow may be taken."""
-        return flows < self.limits.flows and self.allows_request()
-
-    def allows_request(self) -> bool:
-        """Tell whether one more request may be delivered."""
-        return self.in_flight < self.limits.in_flight
+        return flows < self.limits.flows and self.allows_request(WorkClass.NEW_FLOW)
+
+    def allows_request(self, work: WorkClass) -> bool:
+        """Tell whether one more request of a class may be delivered.
+
+        The classes that the profile sheds first stop short of the limit, so that room
+        is left for those shed later.
+        """
+        position = self.profile.shed.index(work)
+        reserve = RESERVE_PER_CLASS * (len(self.profile.shed) - 1 - position)
+        limit = self.limits.in_flight
+        return self.in_flight < max(1, int(limit * (1.0 - reserve)))
+
+    def list_requests(self) -> list[tuple[FlowKey, RequestKey]]:
+        """Return the requests in flight, oldest first."""
+        return list(self._in_flight)
 
     def start_request(self, flow: FlowKey, request: RequestKey, now: float) -> None:
         """Note a request that goes to the backend server."""
--- /dev/null
+++ b/src/balsamstream/core/agent.py
@@ -0,0 +1,394 @@
+"""Decisions of the agent beside one backend server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from ..config.objects import WorkClass
+from .admission import Admission, Health
+from .claim import VoterRole
+from .follower import Follower
+from .identity import NO_REQUEST
+from .membership import Membership
+from .message import (
+    Answer,
+    Cancel,
+    Changes,
+    ChangesAsk,
+    ClaimAsk,
+    ClaimReply,
+    CloseFlow,
+    Count,
+    Deliver,
+    EditView,
+    HolderAsk,
+    HolderReply,
+    LoadReport,
+    Packet,
+    Ping,
+    Pong,
+    ReportAsk,
+    ReportReply,
+    RequestKind,
+    SealAsk,
+    SealReply,
+    Send,
+)
+from .ownership import Ownership, Place
+from .single_run import SingleRun
+from .state import AgentConfig, AgentState
+from .verdict import MayHaveRun
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from .identity import Address, FlowKey, RequestKey
+    from .message import Action, Message
+    from .ownership import Placement
+
+MOST_HOPS: Final = 4
+LOAD_REPORT_S: Final = 1.0
+MOST_LOAD_PEERS: Final = 16
+BACKEND_DOWN_S: Final = 0.5
+"""After a refused datagram only one flow is tried in each such interval."""
+
+MOST_WAITING: Final = 50_000
+
+
+class AgentDecisions:
+    """Admits, places, runs and answers; holds the truth about the host's flows.
+
+    Every method takes the time in seconds of a clock that never falls and returns the
+    actions that carry its decision out, in order.
+
+    Parameters
+    ----------
+    config : AgentConfig
+        What the settings say.
+    random : Random
+        Source of all randomness.
+    """
+
+    def __init__(self, config: AgentConfig, random: Random) -> None:
+        self.state = AgentState.create(config, random)
+        self.ownership = Ownership(self.state)
+        self.single_run = SingleRun(self.state)
+        self.membership = Membership(self.state)
+        self.voter = VoterRole(config.service, config.ref)
+        self.follower = Follower(self.state.catalogue, config.peers, random)
+        self._waiting: dict[tuple[FlowKey, RequestKey], Packet] = {}
+        self._next_load_report = 0.0
+        self._backend_down_until = 0.0
+
+    @property
+    def drained(self) -> bool:
+        """Whether the host has finished its work and left the view."""
+        return self.membership.drained
+
+    def receive(self, sender: Address, message: Message, now: float) -> list[Action]:
+        """Take a message of another process."""
+        match message:
+            case Packet():
+                return self._take_packet(sender, message, now)
+            case ClaimAsk():
+                if message.service != self.state.config.service:
+                    return [Count("wrong_service")]
+                return [Send(sender, self.voter.decide_claim(message, now))]
+            case ClaimReply():
+                return self.single_run.take_vote(message, now)
+            case SealAsk():
+                sealed = self.voter.seal(message)
+                return [] if sealed is None else [Send(sender, sealed)]
+            case SealReply():
+                return list(self.voter.take_seal(message, now))
+            case HolderAsk():
+                return [Send(sender, self.ownership.answer_holder(message))]
+            case HolderReply():
+                return self._carry_out(self.ownership.take_holder(message, now), now)
+            case ReportAsk():
+                return self._answer_report(sender, message, now)
+            case ReportReply():
+                return self.ownership.take_report(message, now)
+            case LoadReport():
+                self.state.loads.take(message, now)
+                return []
+            case Ping():
+                self.follower.note_source(sender, now)
+                return [Send(sender, Pong(message.number, self.state.config.ref))]
+            case ChangesAsk():
+                return [Send(sender, self.state.catalogue.answer(message))]
+            case Changes():
+                return self._take_changes(sender, message, now)
+            case _:
+                return [Count("unexpected_message")]
+
+    def take_answer(
+        self, flow: FlowKey, request: RequestKey, payload: bytes, now: float
+    ) -> list[Action]:
+        """Send a datagram of the backend server to its flow's caller.
+
+        Parameters
+        ----------
+        request : RequestKey
+            The request that the datagram answers, or ``NO_REQUEST``.
+        """
+        held = self.state.flows.keep(flow, now)
+        if held is None:
+            return [Count("answer_without_flow")]
+        via = held.via
+        if request != NO_REQUEST:
+            packet = self._waiting.pop((flow, request), None)
+            if packet is None:
+                packet = self.single_run.find_packet(request)
+            if packet is not None:
+                via = packet.via
+            self._finish(flow, request, payload, now)
+        else:
+            via = self._choose_return(via)
+        state = self.state
+        answer = Answer(state.number, flow, held.caller, state.routing.version, payload)
+        return [Send(via, answer)]
+
+    def notice_backend_refused(self, flow: FlowKey, now: float) -> list[Action]:
+        """Handle a datagram that the backend server's port refused.
+
+        The backend server runs no more or has been restarted: its flows are lost.
+        """
+        self._backend_down_until = now + BACKEND_DOWN_S
+        return self._restart_backend(now)
+
+    def notice_pause(self, gap_s: float, now: float) -> list[Action]:
+        """Handle a pause of this process: what others decided meanwhile is unknown."""
+        return self.ownership.start_sync(now)
+
+    def drain(self, now: float) -> list[Action]:
+        """Begin a graceful stop."""
+        self.membership.drain(now)
+        return self.membership.tick(now)
+
+    def hurry(self, now: float) -> list[Action]:
+        """Cut a graceful stop short."""
+        self.membership.hurry(now)
+        return self.membership.tick(now)
+
+    def tick(self, now: float) -> list[Action]:
+        """Do what is due by time."""
+        state = self.state
+        actions: list[Action] = list(self.follower.tick(now))
+        actions += self.membership.tick(now)
+        actions += self.single_run.tick(now)
+        placements, asked = self.ownership.tick(now)
+        actions += self._carry_out(placements, now) + asked
+        actions += self.voter.tick(now)
+        trim = self.voter.plan_trim(now)
+        if trim is not None:
+            actions.append(EditView(state.config.service, trim))
+        actions += self._expire(now)
+        if state.admission is not None:
+            state.admission.tick(now)
+        if now >= self._next_load_report:
+            self._next_load_report = now + LOAD_REPORT_S
+            actions += self._report_load()
+        return actions
+
+    # --- packets -------------------------------------------------------------------
+
+    def _take_packet(self, sender: Address, packet: Packet, now: float) -> list[Action]:
+        state = self.state
+        if packet.service != state.number:
+            return [Count("wrong_service")]
+        actions: list[Action] = []
+        if packet.hops == 0:
+            self.follower.note_source(sender, now)
+        if not state.routing.version.covers(packet.version):
+            actions += self.follower.ask_at_once(sender, now)
+        if packet.flow in state.flows and not state.is_out:
+            return actions + self._run(packet, now)
+        if packet.hops >= MOST_HOPS:
+            return actions + self._refuse(packet, "too many hops", now)
+        return actions + self._carry_out(self.ownership.place(packet, now), now)
+
+    def _carry_out(self, placements: list[Placement], now: float) -> list[Action]:
+        actions: list[Action] = []
+        for placement in placements:
+            actions += placement.actions
+            packet = placement.packet
+            match placement.place:
+                case Place.TAKE:
+                    actions += self._open_flow(packet, now)
+                case Place.REFUSE:
+                    actions += self._refuse(packet, "no host bears more", now)
+                case Place.DROP | Place.PASSED:
+                    continue
+        return actions
+
+    def _open_flow(self, packet: Packet, now: float) -> list[Action]:
+        if now < self._backend_down_until and len(self.state.flows) > 0:
+            return self._refuse(packet, "backend server down", now)
+        self.ownership.note_flow(packet.flow)
+        return [*self._run(packet, now), Count("flow_opened")]
+
+    def _run(self, packet: Packet, now: float) -> list[Action]:
+        state = self.state
+        state.flows.touch(packet.flow, packet.caller, packet.via, now)
+        if packet.request == NO_REQUEST or state.admission is None:
+            return [self._deliver(packet)]
+        if packet.kind is RequestKind.NON_REPEATABLE:
+            return self.single_run.begin(packet, now)
+        key = (packet.flow, packet.request)
+        if key in self._waiting:
+            # A copy of a request in flight: the backend server knows it by itself.
+            self._waiting[key] = packet
+            return [self._deliver(packet)]
+        full = len(self._waiting) >= MOST_WAITING
+        if full or not state.admission.allows_request(WorkClass.REPEATABLE):
+            return self._refuse(packet, "host full", now)
+        self._waiting[key] = packet
+        state.admission.start_request(packet.flow, packet.request, now)
+        return [self._deliver(packet)]
+
+    def _deliver(self, packet: Packet) -> Deliver:
+        return Deliver(
+            packet.flow,
+            packet.caller,
+            packet.request,
+            packet.deadline_ms,
+            packet.payload,
+        )
+
+    def _refuse(self, packet: Packet, reason: str, now: float) -> list[Action]:
+        match packet.kind:
+            case RequestKind.NONE:
+                return [Count("dropped")]
+            case RequestKind.NON_REPEATABLE:
+                return self.single_run.refuse(packet, now)
+            case RequestKind.REPEATABLE:
+                verdict = self.state.draw_not_run(reason)
+                return [self.state.refuse(packet, verdict), Count("refused_not_run")]
+
+    def _finish(
+        self, flow: FlowKey, request: RequestKey, payload: bytes, now: float
+    ) -> None:
+        self.single_run.take_answer(request, payload)
+        if self.state.admission is not None:
+            self.state.admission.finish_request(flow, request, now)
+
+    def _choose_return(self, last: Address) -> Address:
+        """Pick a balancer for a datagram that answers no request.
+
+        The balancer heard last is likelier to run than the one that the flow's last
+        datagram entered by, which may be hours ago.
+        """
+        sources = self.follower.list_sources()
+        return sources[0] if sources else last
+
+    # --- time ----------------------------------------------------------------------
+
+    def _expire(self, now: float) -> list[Action]:
+        state = self.state
+        profile = state.profile
+        if state.admission is None or profile is None:
+            return []
+        actions: list[Action] = []
+        for flow, request in state.admission.expire_requests(now):
+            actions += self._give_up(flow, request)
+        if state.admission.health is Health.RESTARTED:
+            actions += self._restart_backend(now)
+        for flow in state.flows.list_idle(now, profile.flow_idle_s):
+            state.flows.close(flow)
+            actions += [CloseFlow(flow), Count("flow_idle")]
+        if state.is_out:
+            actions += self._close_all_flows("flow_given_up")
+        return actions
+
+    def _give_up(self, flow: FlowKey, request: RequestKey) -> list[Action]:
+        packet = self._waiting.pop((flow, request), None)
+        actions: list[Action] = [Cancel(flow, request), Count("deadline_passed")]
+        if packet is None:
+            return actions + self.single_run.give_up(request)
+        verdict = MayHaveRun("no answer in time")
+        return [*actions, self.state.refuse(packet, verdict), Count("may_have_run")]
+
+    def _restart_backend(self, now: float) -> list[Action]:
+        """Begin a cold start and end what the old backend server held."""
+        admission = self.state.admission
+        if admission is None:
+            return []
+        actions: list[Action] = [Count("backend_restarted")]
+        for flow, request in admission.list_requests():
+            actions += self._give_up(flow, request)
+        admission.restart()
+        return actions + self._close_all_flows("broken_flows")
+
+    def _close_all_flows(self, counter: str) -> list[Action]:
+        flows = list(self.state.flows)
+        for flow in flows:
+            self.state.flows.close(flow)
+        actions: list[Action] = [CloseFlow(flow) for flow in flows]
+        if flows:
+            actions.append(Count(counter, len(flows)))
+        return actions
+
+    def _report_load(self) -> list[Action]:
+        state = self.state
+        if state.admission is None:
+            return []
+        limits = state.admission.limits
+        report = LoadReport(
+            state.config.service,
+            state.config.ref.name,
+            len(state.flows),
+            limits.flows,
+            state.admission.in_flight,
+            limits.in_flight,
+        )
+        peers = [
+            member
+            for member in state.routing.reachable
+            if member.ref != state.config.ref
+        ]
+        if len(peers) > MOST_LOAD_PEERS:
+            peers = state.random.sample(peers, MOST_LOAD_PEERS)
+        return [Send(member.address, report) for member in peers]
+
+    # --- configuration -------------------------------------------------------------
+
+    def _answer_report(
+        self, sender: Address, ask: ReportAsk, now: float
+    ) -> list[Action]:
+        reply = self.ownership.answer_report(ask)
+        if reply is None:
+            return list(self.follower.ask_at_once(sender, now))
+        return [Send(sender, reply)]
+
+    def _take_changes(
+        self, sender: Address, changes: Changes, now: float
+    ) -> list[Action]:
+        state = self.state
+        taken = state.catalogue.accept(changes)
+        actions: list[Action] = []
+        if changes.more and taken:
+            actions += self.follower.ask_on(sender)
+        if not taken:
+            return actions
+        self._take_profile(now)
+        if not state.update_routing():
+            return actions
+        view = state.routing.view
+        self.voter.adopt(view, now)
+        actions += self.single_run.adopt_view(now)
+        actions += self.ownership.start_sync(now)
+        return actions
+
+    def _take_profile(self, now: float) -> None:
+        state = self.state
+        profile = state.profile
+        if profile is None:
+            return
+        if state.admission is None:
+            state.admission = Admission(profile, state.config.slots, now)
+            return
+        state.admission.profile = profile
+
+
+__all__ = ["AgentConfig", "AgentDecisions"]
--- a/src/balsamstream/core/load.py
+++ b/src/balsamstream/core/load.py
@@ -11,6 +11,8 @@
 REPORT_LIFE_S: Final = 5.0
 """A host not heard of for so long is not chosen for new flows by load."""
 
+HOSTS_HEARD_EACH_S: Final = 16
+
 
 @dataclass(slots=True)
 class _PeerLoad:
@@ -35,6 +37,19 @@
         if peer is not None:
             peer.placed += 1
 
+    def is_silent(self, host: str, hosts: int, now: float) -> bool:
+        """Tell whether a host that reported before has stopped.
+
+        Parameters
+        ----------
+        hosts : int
+            Hosts of the service; in a large one each is heard less often.
+        """
+        peer = self._peers.get(host)
+        if peer is None:
+            return False
+        return now - peer.heard > REPORT_LIFE_S * max(1.0, hosts / HOSTS_HEARD_EACH_S)
+
     def estimate(self, host: str, now: float) -> float | None:
         """Return the host's load with one more flow; None if it is not known."""
         peer = self._peers.get(host)
--- a/src/balsamstream/core/message.py
+++ b/src/balsamstream/core/message.py
@@ -36,7 +36,7 @@
 # --- the packet path ---------------------------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Packet:
     """A caller's datagram on its way to a host.
 
@@ -79,7 +79,7 @@
     flags: PacketFlag = PacketFlag.NONE
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Answer:
     """A backend server's datagram on its way to a caller."""
 
--- a/src/balsamstream/core/ownership.py
+++ b/src/balsamstream/core/ownership.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Final
 
+from .budget import RetryBudget
 from .load import estimate_load
 from .message import (
     Count,
@@ -91,6 +92,7 @@
         self._reporting: dict[ProcessRef, _Reporting] = {}
         self._acted: OrderedDict[FlowKey, tuple[ProcessRef, float]] = OrderedDict()
         self._acted_told = 0.0
+        self._budget = RetryBudget()
 
     @property
     def is_synced(self) -> bool:
@@ -116,7 +118,7 @@
         state = self._state
         ranked = state.routing.rank(packet.flow)
         if PacketFlag.PLACED in packet.flags:
-            return [self._take_placed(packet)]
+            return [self._take_placed(packet, now)]
         if not ranked:
             return [Placement(packet, Place.REFUSE)]
         me = state.config.ref
@@ -124,7 +126,7 @@
         acting = PacketFlag.ACTING in packet.flags and owner.ref != me
         if not acting and owner.ref != me:
             return [self._pass(packet, owner, PacketFlag.NONE, "passed_to_owner")]
-        pinned = self._find_pinned(packet.flow)
+        pinned = self._find_pinned(packet.flow, now)
         if pinned is not None:
             return [self._pass(packet, pinned, PacketFlag.PLACED, "passed_to_holder")]
         if acting or not self.is_synced:
@@ -227,13 +229,31 @@
         )
         return Send(owed.member.address, ask)
 
-    def _take_placed(self, packet: Packet) -> Placement:
+    def _take_placed(self, packet: Packet, now: float) -> Placement:
         admission = self._state.admission
-        if not self._state.takes_flows or admission is None:
+        if admission is None:
             return Placement(packet, Place.REFUSE)
-        if not admission.allows_flow(len(self._state.flows)):
+        fits = admission.allows_flow(len(self._state.flows))
+        if fits and self._state.takes_flows:
+            return Placement(packet, Place.TAKE)
+        return self._pass_refused(packet, now)
+
+    def _pass_refused(self, packet: Packet, now: float) -> Placement:
+        """Try one more host, within the profile's budget of retries."""
+        best: Member | None = None
+        best_load = 1.0
+        for member in self._state.routing.rank(packet.flow):
+            if member.ref == self._state.config.ref:
+                continue
+            load = self._estimate(member, now)
+            if load is None or load > best_load:
+                continue
+            best, best_load = member, load
+        if best is None or not self._budget.take():
             return Placement(packet, Place.REFUSE, (Count("placed_refused"),))
-        return Placement(packet, Place.TAKE)
+        self._pin(packet.flow, best.ref.name)
+        self._state.loads.count_placed(best.ref.name)
+        return self._pass(packet, best, PacketFlag.PLACED, "placed_again")
 
     def _pass(
         self, packet: Packet, member: Member, flags: PacketFlag, counter: str
@@ -247,12 +267,13 @@
             return None
         return self._state.routing.find_reachable(name)
 
-    def _find_pinned(self, flow: FlowKey) -> Member | None:
+    def _find_pinned(self, flow: FlowKey, now: float) -> Member | None:
         name = self._pins.get(flow)
         if name is None:
             return None
         member = self._find_member(name)
-        if member is None:
+        hosts = len(self._state.routing.reachable)
+        if member is None or self._state.loads.is_silent(name, hosts, now):
             del self._pins[flow]
             return None
         self._pins.move_to_end(flow)
@@ -293,7 +314,7 @@
         asked = self._asked.pop(flow)
         placements: list[Placement] = []
         for packet in asked.packets:
-            pinned = self._find_pinned(flow)
+            pinned = self._find_pinned(flow, now)
             if pinned is None:
                 placements.append(self._place_new(packet, now))
                 continue
@@ -311,6 +332,7 @@
         profile = state.profile
         if profile is None:
             return Placement(packet, Place.REFUSE)
+        self._budget.add(profile.retry_budget)
         best: Member | None = None
         best_load = 1.0
         for member in state.routing.rank(packet.flow)[: profile.choices]:
--- a/src/balsamstream/core/single_run.py
+++ b/src/balsamstream/core/single_run.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Final
 
+from ..config.objects import WorkClass
 from .claim import (
     CLAIM_KEPT_S,
     ClaimRound,
@@ -83,7 +84,9 @@
             record.packet = packet
             return self._repeat(record)
         admission = self._state.admission
-        admitted = admission is not None and admission.allows_request()
+        admitted = admission is not None and admission.allows_request(
+            WorkClass.NON_REPEATABLE
+        )
         return self._open(packet, admitted, now)
 
     def refuse(self, packet: Packet, now: float) -> list[Action]:
@@ -112,6 +115,11 @@
         record.stage = Stage.ANSWERED
         record.answer = payload
 
+    def find_packet(self, request: RequestKey) -> Packet | None:
+        """Return the latest copy of a request known here."""
+        record = self._records.get(request)
+        return None if record is None else record.packet
+
     def give_up(self, request: RequestKey) -> list[Action]:
         """Tell the caller that a delivered request has no answer in time."""
         record = self._records.get(request)
