--- a/src/balsamstream/wire/control.py
+++ b/src/balsamstream/wire/control.py
@@ -25,32 +25,21 @@
     ReportReply,
     SealAsk,
     SealReply,
-    ViewAsk,
-    ViewPush,
 )
 
 from .error import MalformedMessage
 from .generated.control import ttypes
-from .member import (
-    read_ref,
-    read_version,
-    read_view,
-    write_ref,
-    write_version,
-    write_view,
-)
 from .number import to_signed, to_unsigned
+from .reference import read_ref, read_version, write_ref, write_version
 
 if TYPE_CHECKING:
     from balsamstream.core.message import Message
 
     from .structure import Structure
 
-MOST_CONTROL_BYTES: Final = 262_144
+MOST_CONTROL_BYTES: Final = 2_097_152
 
 _STRUCTS: Final = {
-    16: ttypes.ViewAsk,
-    17: ttypes.ViewPush,
     18: ttypes.ReportAsk,
     19: ttypes.ReportReply,
     20: ttypes.HolderAsk,
@@ -119,50 +108,43 @@
 
 def _write_struct(message: Message) -> Structure:
     match message:
-        case ViewAsk() | ViewPush():
-            return _write_view_message(message)
         case ReportAsk() | ReportReply() | HolderAsk() | HolderReply():
             return _write_flow_message(message)
         case ClaimAsk() | ClaimReply() | SealAsk() | SealReply():
             return _write_claim_message(message)
-        case LoadReport(service, host, load, flows, in_flight):
-            return ttypes.LoadReport(service, host, load, flows, in_flight)
+        case LoadReport():
+            return _write_load(message)
         case Ping(number):
             return ttypes.Ping(to_signed(number))
         case Pong(number, ref):
             return ttypes.Pong(to_signed(number), write_ref(ref))
         case ChangesAsk(have, service):
             return ttypes.ChangesAsk(have, service)
-        case Changes(since, up_to, full, more, objects):
+        case Changes(since, up_to, full, more, objects, service):
             written = [_write_object(found) for found in objects]
-            return ttypes.Changes(since, up_to, full, more, written)
+            return ttypes.Changes(since, up_to, full, more, written, service)
         case _:
             raise MalformedMessage("no-control-message")
 
 
-def _write_view_message(message: ViewAsk | ViewPush) -> Structure:
-    match message:
-        case ViewAsk(service, have):
-            return ttypes.ViewAsk(service, write_version(have))
-        case ViewPush(view, out, data_centres_version):
-            return ttypes.ViewPush(write_view(view), sorted(out), data_centres_version)
-
-
 def _write_flow_message(
     message: ReportAsk | ReportReply | HolderAsk | HolderReply,
 ) -> Structure:
     match message:
-        case ReportAsk(service, version, owner, page):
+        case ReportAsk(service, version, owner, after):
             return ttypes.ReportAsk(
-                service, write_version(version), write_ref(owner), page
+                service,
+                write_version(version),
+                write_ref(owner),
+                _write_after(after),
             )
-        case ReportReply(service, version, holder, page, pages, flows):
+        case ReportReply(service, version, holder, after, more, flows):
             return ttypes.ReportReply(
                 service,
                 write_version(version),
                 write_ref(holder),
-                page,
-                pages,
+                _write_after(after),
+                more,
                 [to_signed(flow) for flow in flows],
             )
         case HolderAsk(service, flow):
@@ -208,8 +190,6 @@
 
 def _read_struct(struct: Structure) -> Message:
     match struct:
-        case ttypes.ViewAsk() | ttypes.ViewPush():
-            return _read_view_message(struct)
         case (
             ttypes.ReportAsk()
             | ttypes.ReportReply()
@@ -218,13 +198,7 @@
         ):
             return _read_flow_message(struct)
         case ttypes.LoadReport():
-            return LoadReport(
-                struct.service_name,
-                struct.host,
-                struct.load,
-                struct.flows,
-                struct.in_flight,
-            )
+            return _read_load(struct)
         case ttypes.Ping():
             return Ping(to_unsigned(struct.number))
         case ttypes.Pong():
@@ -232,26 +206,11 @@
         case ttypes.ChangesAsk():
             return ChangesAsk(struct.have, struct.service_name)
         case ttypes.Changes():
-            objects = tuple(_read_object(found) for found in struct.objects)
-            return Changes(
-                struct.since, struct.up_to, struct.full, struct.more, objects
-            )
+            return _read_changes(struct)
         case _:
             return _read_claim_message(struct)
 
 
-def _read_view_message(struct: Structure) -> Message:
-    match struct:
-        case ttypes.ViewAsk():
-            return ViewAsk(struct.service_name, read_version(struct.have))
-        case _:
-            return ViewPush(
-                read_view(struct.view),
-                frozenset(struct.out),
-                struct.data_centres_version,
-            )
-
-
 def _read_flow_message(struct: Structure) -> Message:
     match struct:
         case ttypes.ReportAsk():
@@ -259,15 +218,15 @@
                 struct.service_name,
                 read_version(struct.version),
                 read_ref(struct.owner),
-                struct.page,
+                _read_after(struct),
             )
         case ttypes.ReportReply():
             return ReportReply(
                 struct.service_name,
                 read_version(struct.version),
                 read_ref(struct.holder),
-                struct.page,
-                struct.pages,
+                _read_after(struct),
+                struct.more,
                 tuple(FlowKey(to_unsigned(flow)) for flow in struct.flows),
             )
         case ttypes.HolderAsk():
@@ -319,6 +278,47 @@
             )
 
 
+def _write_after(after: int) -> int | None:
+    return None if after < 0 else to_signed(after)
+
+
+def _read_after(struct: Structure) -> int:
+    return -1 if struct.after is None else to_unsigned(struct.after)
+
+
+def _write_load(report: LoadReport) -> Structure:
+    return ttypes.LoadReport(
+        report.service,
+        report.host,
+        report.flows,
+        report.flow_limit,
+        report.in_flight,
+        report.in_flight_limit,
+    )
+
+
+def _read_load(struct: Structure) -> LoadReport:
+    return LoadReport(
+        struct.service_name,
+        struct.host,
+        struct.flows,
+        struct.flow_limit,
+        struct.in_flight,
+        struct.in_flight_limit,
+    )
+
+
+def _read_changes(struct: Structure) -> Changes:
+    return Changes(
+        struct.since,
+        struct.up_to,
+        struct.full,
+        struct.more,
+        tuple(_read_object(found) for found in struct.objects),
+        struct.service_name,
+    )
+
+
 def _write_object(found: ConfigObject) -> Structure:
     spec = None if found.spec is None else json.dumps(found.spec)
     return ttypes.ConfigObject(found.kind, found.name, found.version, spec)
--- a/src/balsamstream/wire/control.thrift
+++ b/src/balsamstream/wire/control.thrift
@@ -6,27 +6,7 @@
 namespace py control
 
 struct Ref { 1: required string name, 2: required i64 incarnation }
-struct Address { 1: required string ip, 2: required i32 port }
 struct Version { 1: required i64 view, 2: required i64 data_centres }
-struct Member {
-  1: required Ref ref,
-  2: required Address address,
-  3: required string data_centre,
-  4: required i32 slots,
-  5: required string state,
-}
-struct Voter { 1: required Ref ref, 2: required Address address, 3: required string data_centre }
-struct VoterSet {
-  1: required i64 epoch,
-  2: required list<Voter> voters,
-  3: required double quarantine_s,
-}
-struct View {
-  1: required string service_name,
-  2: required i64 number,
-  3: required list<Member> members,
-  4: required list<VoterSet> voter_sets,
-}
 struct Claim { 1: required i64 request, 2: required Ref claimant }
 struct ConfigObject {
   1: required string kind,
@@ -35,24 +15,18 @@
   4: optional string spec_json,
 }
 
-struct ViewAsk { 1: required string service_name, 2: required Version have }
-struct ViewPush {
-  1: required View view,
-  2: required list<string> out,
-  3: required i64 data_centres_version,
-}
 struct ReportAsk {
   1: required string service_name,
   2: required Version version,
   3: required Ref owner,
-  4: required i32 page,
+  4: optional i64 after,
 }
 struct ReportReply {
   1: required string service_name,
   2: required Version version,
   3: required Ref holder,
-  4: required i32 page,
-  5: required i32 pages,
+  4: optional i64 after,
+  5: required bool more,
   6: required list<i64> flows,
 }
 struct HolderAsk { 1: required string service_name, 2: required i64 flow }
@@ -65,9 +39,10 @@
 struct LoadReport {
   1: required string service_name,
   2: required string host,
-  3: required double load,
-  4: required i32 flows,
+  3: required i32 flows,
+  4: required i32 flow_limit,
   5: required i32 in_flight,
+  6: required i32 in_flight_limit,
 }
 struct Ping { 1: required i64 number }
 struct Pong { 1: required i64 number, 2: required Ref ref }
@@ -108,4 +83,5 @@
   3: required bool full,
   4: required bool more,
   5: required list<ConfigObject> objects,
+  6: required string service_name,
 }
--- a/src/balsamstream/wire/fragment.py
+++ b/src/balsamstream/wire/fragment.py
@@ -19,6 +19,7 @@
 MOST_FRAGMENTS: Final = 256
 MOST_PARTIAL_PER_SENDER: Final = 4
 MOST_SENDERS: Final = 64
+MOST_PARTIAL_BYTES: Final = 4_194_304
 FRAGMENT_AGE_S: Final = 3.0
 
 _HEADER: Final = struct.Struct("!BIHH")
@@ -62,9 +63,13 @@
 
 
 class Reassembler:
-    """Joins fragments; bounded in senders, messages, bytes and age."""
+    """Joins fragments; bounded in senders, messages, bytes and age.
+
+    At the bound of ``MOST_PARTIAL_BYTES`` over all senders a new fragment is refused.
+    """
 
     def __init__(self) -> None:
+        self.partial_bytes = 0
         self._senders: OrderedDict[Hashable, OrderedDict[int, _Partial]] = OrderedDict()
 
     def __len__(self) -> int:
@@ -79,18 +84,24 @@
             If the bytes are no fragment or the joined ones no message.
         """
         number, index, count = _read_header(fragment)
+        if self.partial_bytes > MOST_PARTIAL_BYTES:
+            raise MalformedMessage("fragments-full")
         partials = self._find_partials(sender)
         partial = partials.get(number)
-        if partial is None or partial.count != count or _is_old(partial, now):
+        if partial is not None and (partial.count != count or _is_old(partial, now)):
+            self._forget(partials, number)
+            partial = None
+        if partial is None:
             partial = _Partial(now, count)
-            partials.pop(number, None)
             partials[number] = partial
-            if len(partials) > MOST_PARTIAL_PER_SENDER:
-                partials.popitem(last=False)
-        partial.chunks[index] = fragment[_HEADER.size :]
+        if len(partials) > MOST_PARTIAL_PER_SENDER:
+            self._forget(partials, next(iter(partials)))
+        if index not in partial.chunks:
+            partial.chunks[index] = fragment[_HEADER.size :]
+            self.partial_bytes += len(partial.chunks[index])
         if len(partial.chunks) < count:
             return None
-        del partials[number]
+        self._forget(partials, number)
         return _join(partial)
 
     def forget_old(self, now: float) -> None:
@@ -98,7 +109,7 @@
         for sender, partials in list(self._senders.items()):
             for number, partial in list(partials.items()):
                 if _is_old(partial, now):
-                    del partials[number]
+                    self._forget(partials, number)
             if not partials:
                 del self._senders[sender]
 
@@ -108,11 +119,21 @@
             self._senders.move_to_end(sender)
             return partials
         if len(self._senders) >= MOST_SENDERS:
-            self._senders.popitem(last=False)
+            oldest = next(iter(self._senders))
+            self._forget_sender(oldest)
         partials = OrderedDict()
         self._senders[sender] = partials
         return partials
 
+    def _forget_sender(self, sender: Hashable) -> None:
+        partials = self._senders.pop(sender)
+        for number in list(partials):
+            self._forget(partials, number)
+
+    def _forget(self, partials: OrderedDict[int, _Partial], number: int) -> None:
+        partial = partials.pop(number)
+        self.partial_bytes -= sum(map(len, partial.chunks.values()))
+
 
 def _is_old(partial: _Partial, now: float) -> bool:
     return now - partial.started > FRAGMENT_AGE_S
--- a/src/balsamstream/wire/packet.py
+++ b/src/balsamstream/wire/packet.py
@@ -29,11 +29,11 @@
 
 # type, kind, flags, hops, service, flow, request, deadline, view, data centres,
 # caller, via
-_PACKET: Final = struct.Struct("!BBBBIQQIIQ4sH4sH")
+_PACKET: Final = struct.Struct("!BBBBQQQIIQ4sH4sH")
 # type, service, flow, view, data centres, caller
-_ANSWER: Final = struct.Struct("!BIQIQ4sH")
+_ANSWER: Final = struct.Struct("!BQQIQ4sH")
 # an answer's fields, may have run, retry after in seconds, length of the reason
-_REFUSAL: Final = struct.Struct("!BIQIQ4sHBdB")
+_REFUSAL: Final = struct.Struct("!BQQIQ4sHBdB")
 
 _KINDS: Final = tuple(RequestKind)
 _FLAGS: Final = tuple(PacketFlag(bits) for bits in range(4))
