--- a/src/balsamstream/wire/packet.py
+++ b/src/balsamstream/wire/packet.py
@@ -29,18 +29,24 @@
 
 # type, kind, flags, hops, service, flow, request, deadline, view, data centres,
 # caller, via
-_PACKET: Final = struct.Struct("!BBBBQQQIIQ4sH4sH")
+_PACKET: Final = struct.Struct("!BBBBQQQIIQ6s6s")
 # type, service, flow, view, data centres, caller
-_ANSWER: Final = struct.Struct("!BQQIQ4sH")
+_ANSWER: Final = struct.Struct("!BQQIQ6s")
 # an answer's fields, may have run, retry after in seconds, length of the reason
-_REFUSAL: Final = struct.Struct("!BQQIQ4sHBdB")
+_REFUSAL: Final = struct.Struct("!BQQIQ6sBdB")
+_VERSION: Final = struct.Struct("!IQ")
+
+# The same layouts with both parts of the version as one key of its cache.
+_PACKET_READ: Final = struct.Struct("!BBBBQQQI12s6s6s")
+_ANSWER_READ: Final = struct.Struct("!BQQ12s6s")
+_REFUSAL_READ: Final = struct.Struct("!BQQ12s6sBdB")
 
 _KINDS: Final = tuple(RequestKind)
 _FLAGS: Final = tuple(PacketFlag(bits) for bits in range(4))
 
-_ip_by_bytes: dict[bytes, str] = {}
-_bytes_by_ip: dict[str, bytes] = {}
-_versions: dict[tuple[int, int], RoutingVersion] = {}
+_address_by_bytes: dict[bytes, Address] = {}
+_bytes_by_address: dict[Address, bytes] = {}
+_version_by_bytes: dict[bytes, RoutingVersion] = {}
 
 
 def encode_packet(packet: Packet) -> bytes:
@@ -69,10 +75,8 @@
             packet.deadline_ms,
             version.view,
             version.data_centres,
-            _bytes_by_ip.get(caller.ip) or _pack_ip(caller.ip),
-            caller.port,
-            _bytes_by_ip.get(via.ip) or _pack_ip(via.ip),
-            via.port,
+            _bytes_by_address.get(caller) or _pack_address(caller),
+            _bytes_by_address.get(via) or _pack_address(via),
         )
     except (struct.error, OSError) as error:
         raise MalformedMessage("packet-field") from error
@@ -97,19 +101,16 @@
             flow,
             request,
             deadline_ms,
-            view,
-            data_centres,
-            caller_ip,
-            caller_port,
-            via_ip,
-            via_port,
-        ) = _PACKET.unpack_from(data)
+            version,
+            caller,
+            via,
+        ) = _PACKET_READ.unpack_from(data)
         return Packet(
             service,
             flow,
-            Address(_ip_by_bytes.get(caller_ip) or _read_ip(caller_ip), caller_port),
-            Address(_ip_by_bytes.get(via_ip) or _read_ip(via_ip), via_port),
-            _versions.get((view, data_centres)) or _read_version(view, data_centres),
+            _address_by_bytes.get(caller) or _read_address(caller),
+            _address_by_bytes.get(via) or _read_address(via),
+            _version_by_bytes.get(version) or _read_version(version),
             _KINDS[kind],
             request,
             deadline_ms,
@@ -138,8 +139,7 @@
             answer.flow,
             answer.version.view,
             answer.version.data_centres,
-            _pack_ip(answer.caller.ip),
-            answer.caller.port,
+            _bytes_by_address.get(answer.caller) or _pack_address(answer.caller),
         )
     except (struct.error, OSError) as error:
         raise MalformedMessage("answer-field") from error
@@ -155,14 +155,14 @@
         If the bytes are no answer.
     """
     try:
-        _, service, flow, view, data_centres, ip, port = _ANSWER.unpack_from(data)
+        _, service, flow, version, caller = _ANSWER_READ.unpack_from(data)
     except struct.error as error:
         raise MalformedMessage("answer") from error
     return Answer(
         service,
         FlowKey(flow),
-        Address(_read_ip(ip), port),
-        _read_version(view, data_centres),
+        _address_by_bytes.get(caller) or _read_address(caller),
+        _version_by_bytes.get(version) or _read_version(version),
         data[_ANSWER.size :],
     )
 
@@ -191,8 +191,7 @@
             refusal.flow,
             refusal.version.view,
             refusal.version.data_centres,
-            _pack_ip(refusal.caller.ip),
-            refusal.caller.port,
+            _pack_address(refusal.caller),
             may_have_run,
             retry_after_s,
             len(text),
@@ -211,10 +210,10 @@
         If the bytes are no refusal.
     """
     try:
-        fields = _REFUSAL.unpack_from(data)
+        fields = _REFUSAL_READ.unpack_from(data)
     except struct.error as error:
         raise MalformedMessage("refusal") from error
-    _, service, flow, view, data_centres, ip, port, may_have_run, retry, size = fields
+    _, service, flow, version, caller, may_have_run, retry, size = fields
     end = _REFUSAL.size + size
     finite = 0.0 <= retry < float("inf")
     if size > MOST_REASON_BYTES or len(data) < end or may_have_run > 1 or not finite:
@@ -223,37 +222,37 @@
     return Refusal(
         service,
         FlowKey(flow),
-        Address(_read_ip(ip), port),
-        _read_version(view, data_centres),
+        _read_address(caller),
+        _read_version(version),
         MayHaveRun(reason) if may_have_run else NotRun(retry, reason),
         data[end:],
     )
 
 
-def _pack_ip(ip: str) -> bytes:
-    packed = _bytes_by_ip.get(ip)
+def _pack_address(address: Address) -> bytes:
+    packed = _bytes_by_address.get(address)
     if packed is None:
-        packed = inet_aton(ip)
-        _make_room(_bytes_by_ip)
-        _bytes_by_ip[ip] = packed
+        packed = inet_aton(address.ip) + struct.pack("!H", address.port)
+        _make_room(_bytes_by_address)
+        _bytes_by_address[address] = packed
     return packed
 
 
-def _read_ip(packed: bytes) -> str:
-    ip = _ip_by_bytes.get(packed)
-    if ip is None:
-        ip = inet_ntoa(packed)
-        _make_room(_ip_by_bytes)
-        _ip_by_bytes[packed] = ip
-    return ip
+def _read_address(packed: bytes) -> Address:
+    address = _address_by_bytes.get(packed)
+    if address is None:
+        address = Address(inet_ntoa(packed[:4]), int.from_bytes(packed[4:], "big"))
+        _make_room(_address_by_bytes)
+        _address_by_bytes[packed] = address
+    return address
 
 
-def _read_version(view: int, data_centres: int) -> RoutingVersion:
-    version = _versions.get((view, data_centres))
+def _read_version(packed: bytes) -> RoutingVersion:
+    version = _version_by_bytes.get(packed)
     if version is None:
-        version = RoutingVersion(view, data_centres)
-        _make_room(_versions)
-        _versions[view, data_centres] = version
+        version = RoutingVersion(*_VERSION.unpack(packed))
+        _make_room(_version_by_bytes)
+        _version_by_bytes[packed] = version
     return version
 
 
--- a/src/balsamstream/wire/seal.py
+++ b/src/balsamstream/wire/seal.py
@@ -1,18 +1,18 @@
 """Authentication of the datagrams between processes of the system.
 
-A sealed datagram is a header (key, sender, sender's second, counter), a tag and the
-message. The tag is a keyed BLAKE2s over both processes' addresses, the header and the
+A sealed datagram is a header (key, sender, sender's second, counter), the message and
+a tag. The tag is a keyed BLAKE2s over both processes' addresses, the header and the
 message, so that a datagram is good for one receiver and one direction only.
 ``docs/design/wire.md`` says what this covers and what it does not.
 """
 
 from __future__ import annotations
 
-import hmac
 import struct
 from collections import OrderedDict
 from dataclasses import dataclass
 from hashlib import blake2s
+from hmac import compare_digest
 from socket import inet_aton
 from typing import TYPE_CHECKING, Final
 
@@ -32,8 +32,7 @@
 
 # key, sender, sender's second, counter
 _HEADER: Final = struct.Struct("!BQIQ")
-_BODY_START: Final = _HEADER.size + TAG_BYTES
-SEAL_BYTES: Final = _BODY_START
+SEAL_BYTES: Final = _HEADER.size + TAG_BYTES
 """What sealing adds to a message, in bytes."""
 
 
@@ -172,10 +171,10 @@
         header = _HEADER.pack(
             self._first.number, self._sender_id, self._clock.now_s, outbox.counter
         )
+        signed = header + message
         hasher = outbox.hasher.copy()
-        hasher.update(header)
-        hasher.update(message)
-        return header + hasher.digest() + message
+        hasher.update(signed)
+        return signed + hasher.digest()
 
     def open(self, source: Address, datagram: bytes) -> bytes:
         """Return the message of a datagram that arrived from an address.
@@ -185,22 +184,19 @@
         SealError
             If it is short, of an unknown key, forged, old or a replay.
         """
-        if len(datagram) < _BODY_START:
+        if len(datagram) < SEAL_BYTES:
             raise SealError("short")
         number, sender_id, second, counter = _HEADER.unpack_from(datagram)
         cached = self._hashers.get((number, source))
         hasher = cached or self._make_opening_hasher(number, source)
-        message = datagram[_BODY_START:]
         digest = hasher.copy()
-        digest.update(datagram[: _HEADER.size])
-        digest.update(message)
-        tag = datagram[_HEADER.size : _BODY_START]
-        if not hmac.compare_digest(digest.digest(), tag):
+        digest.update(datagram[:-TAG_BYTES])
+        if not compare_digest(digest.digest(), datagram[-TAG_BYTES:]):
             raise SealError("forged")
         if cached is None:
             self._keep_hasher(number, source, hasher)
         self._check_replay(sender_id, second, counter)
-        return message
+        return datagram[_HEADER.size : -TAG_BYTES]
 
     def _check_replay(self, sender_id: int, second: int, counter: int) -> None:
         now = self._clock.monotonic_s
