--- /dev/null
+++ b/src/balsamstream/core/balancer.py
@@ -0,0 +1,405 @@
+"""Decisions of a balancer on an entry VM."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from .catalogue import Catalogue, number_service
+from .claim import VoterRole
+from .distribution import Distribution
+from .liveness import Liveness
+from .message import (
+    Answer,
+    Changes,
+    ChangesAsk,
+    ClaimAsk,
+    ClaimReply,
+    Count,
+    EditView,
+    Packet,
+    PacketFlag,
+    Ping,
+    Pong,
+    Refusal,
+    RefuseCaller,
+    RequestKind,
+    ReturnToCaller,
+    SealAsk,
+    SealReply,
+    Send,
+)
+from .refusal import RefusalRounds
+from .routing import Routing
+from .state import HEAD_BYTES
+from .view import MemberState, SetState, View
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from .catalogue import ServiceEntry
+    from .identity import Address, FlowKey, ProcessRef, RequestKey
+    from .message import Action, ConfigObject, Message
+    from .routing import RoutingVersion
+    from .view import Member
+
+DOWN_AFTER_S: Final = 3.0
+DOWN_SPREAD_S: Final = 2.0
+DOWN_REPEAT_LEAST_S: Final = 5.0
+DOWN_REPEAT_MOST_S: Final = 300.0
+
+
+@dataclass(frozen=True, slots=True)
+class BalancerConfig:
+    """What a balancer's settings say.
+
+    Parameters
+    ----------
+    ref : ProcessRef
+        Name of the balancer and this run's incarnation.
+    address : Address
+        Where messages of the system's processes arrive.
+    data_centre : str
+        Name of the data centre.
+    hints : int
+        Bound of the table of flows that are not on their bucket's owner.
+    peers : tuple of Address
+        Processes that are asked for configuration while the platform is down.
+    """
+
+    ref: ProcessRef
+    address: Address
+    data_centre: str
+    hints: int = 100_000
+    peers: tuple[Address, ...] = ()
+
+
+@dataclass(slots=True)
+class _DownMark:
+    next_edit: float
+    pause_s: float
+
+
+class BalancerDecisions:
+    """Passes callers' datagrams to hosts and answers back; keeps no truth.
+
+    Parameters
+    ----------
+    config : BalancerConfig
+        What the settings say.
+    random : Random
+        Source of all randomness.
+    """
+
+    def __init__(self, config: BalancerConfig, random: Random) -> None:
+        self.config = config
+        self.catalogue = Catalogue()
+        self.distribution = Distribution(config, self.catalogue, random)
+        self.liveness = Liveness()
+        self.refusals = RefusalRounds(random)
+        self._random = random
+        self._hints: OrderedDict[FlowKey, str] = OrderedDict()
+        self._routings: dict[int, Routing] = {}
+        self._hosts: dict[Address, tuple[int, ProcessRef]] = {}
+        self._voters: dict[str, VoterRole] = {}
+        self._down_marks: dict[ProcessRef, _DownMark] = {}
+
+    @property
+    def should_watch(self) -> bool:
+        """Whether this balancer is one of the few that watch the platform."""
+        return self.distribution.should_watch
+
+    @property
+    def hint_count(self) -> int:
+        """Flows known to be held away from their bucket's owner."""
+        return len(self._hints)
+
+    def find_routing(self, entry: ServiceEntry) -> Routing:
+        """Return the routing of a service, computed at its first use."""
+        routing = self._routings.get(entry.number)
+        if routing is not None:
+            return routing
+        view = self.catalogue.find_view(entry.spec.name)
+        if view is None:
+            view = View(entry.spec.name, 0)
+        routing = Routing(view, self.catalogue.out, self.catalogue.data_centres_version)
+        self._routings[entry.number] = routing
+        for member in routing.reachable:
+            self._hosts[member.address] = (entry.number, member.ref)
+        return routing
+
+    def route(
+        self,
+        entry: ServiceEntry,
+        flow: FlowKey,
+        caller: Address,
+        kind: RequestKind,
+        request: RequestKey,
+        payload: bytes,
+        now: float,
+    ) -> list[Action]:
+        """Pass a caller's datagram to the host of its flow."""
+        routing = self.find_routing(entry)
+        member, flags = self._choose_host(routing, flow)
+        if member is None:
+            return self._refuse(entry, routing, caller, kind, request, payload, now)
+        packet = Packet(
+            entry.number,
+            flow,
+            caller,
+            self.config.address,
+            routing.version,
+            kind,
+            request,
+            entry.profile.deadline_ms,
+            payload,
+            0,
+            flags,
+        )
+        if kind is not RequestKind.NONE:
+            self.liveness.note_sent(member.address, now)
+        return [Send(member.address, packet)]
+
+    def receive(self, sender: Address, message: Message, now: float) -> list[Action]:
+        """Take a message of another process."""
+        match message:
+            case Answer():
+                return self._take_answer(sender, message, now)
+            case Refusal():
+                return self._take_refusal(sender, message, now)
+            case Pong():
+                self.liveness.note_heard(sender, now)
+                return []
+            case Ping():
+                return [Send(sender, Pong(message.number, self.config.ref))]
+            case ChangesAsk():
+                return self.distribution.answer(sender, message, now)
+            case Changes():
+                return self._take_changes(sender, message, now)
+            case ClaimAsk():
+                role = self._find_voter(message.service, now)
+                if role is None:
+                    return [Count("unexpected_message")]
+                return [Send(sender, role.decide_claim(message, now))]
+            case ClaimReply():
+                return self.refusals.take_vote(message)
+            case SealAsk():
+                role = self._find_voter(message.service, now)
+                sealed = None if role is None else role.seal(message)
+                return [] if sealed is None else [Send(sender, sealed)]
+            case SealReply():
+                role = self._voters.get(message.service)
+                return [] if role is None else list(role.take_seal(message, now))
+            case _:
+                return [Count("unexpected_message")]
+
+    def notice_pause(self, gap_s: float, now: float) -> list[Action]:
+        """Blame no host for a time in which this process stood still."""
+        self.liveness.forget_waits()
+        return []
+
+    def tick(self, now: float) -> list[Action]:
+        """Do what is due by time."""
+        actions: list[Action] = list(self.liveness.tick(now))
+        actions += self.refusals.tick(now)
+        actions += self.distribution.tick(now)
+        actions += self._mark_down(now)
+        for service, role in self._voters.items():
+            actions += role.tick(now)
+            trim = role.plan_trim(now)
+            if trim is not None:
+                actions.append(EditView(service, trim))
+        return actions
+
+    # --- packets -------------------------------------------------------------------
+
+    def _choose_host(
+        self, routing: Routing, flow: FlowKey
+    ) -> tuple[Member | None, PacketFlag]:
+        hinted = self._hints.get(flow)
+        if hinted is not None:
+            member = routing.find_reachable(hinted)
+            if member is not None and not self.liveness.is_suspect(member.address):
+                return member, PacketFlag.NONE
+            del self._hints[flow]
+        ranked = routing.rank(flow)
+        if not ranked:
+            return None, PacketFlag.NONE
+        for position, member in enumerate(ranked):
+            if self.liveness.is_suspect(member.address):
+                continue
+            return member, PacketFlag.ACTING if position else PacketFlag.NONE
+        # With every candidate silent the fault is likelier to be on this side.
+        return ranked[0], PacketFlag.NONE
+
+    def _refuse(
+        self,
+        entry: ServiceEntry,
+        routing: Routing,
+        caller: Address,
+        kind: RequestKind,
+        request: RequestKey,
+        payload: bytes,
+        now: float,
+    ) -> list[Action]:
+        head = payload[:HEAD_BYTES]
+        match kind:
+            case RequestKind.NONE:
+                return [Count("dropped")]
+            case RequestKind.REPEATABLE:
+                verdict = self.refusals.draw_not_run(entry.profile, "no host")
+                refusal = RefuseCaller(entry.number, caller, verdict, head)
+                return [refusal, Count("refused_not_run")]
+            case RequestKind.NON_REPEATABLE:
+                return self.refusals.refuse(
+                    entry.number,
+                    caller,
+                    head,
+                    request,
+                    entry.profile,
+                    routing.view,
+                    now,
+                )
+
+    def _take_answer(self, sender: Address, answer: Answer, now: float) -> list[Action]:
+        self.liveness.note_heard(sender, now)
+        known = self._hosts.get(sender)
+        if known is not None and known[0] != answer.service:
+            return [Count("wrong_service")]
+        actions: list[Action] = [
+            ReturnToCaller(answer.service, answer.caller, answer.payload)
+        ]
+        routing = self._routings.get(answer.service)
+        if routing is None:
+            return actions
+        self._learn_hint(routing, answer.flow, known)
+        return actions + self._compare(sender, routing, answer.version, now)
+
+    def _learn_hint(
+        self, routing: Routing, flow: FlowKey, known: tuple[int, ProcessRef] | None
+    ) -> None:
+        if known is None:
+            return
+        owner = routing.find_owner(flow)
+        if owner is not None and owner.ref == known[1]:
+            self._hints.pop(flow, None)
+            return
+        self._hints[flow] = known[1].name
+        self._hints.move_to_end(flow)
+        if len(self._hints) > self.config.hints:
+            self._hints.popitem(last=False)
+
+    def _take_refusal(
+        self, sender: Address, refusal: Refusal, now: float
+    ) -> list[Action]:
+        self.liveness.note_heard(sender, now)
+        actions: list[Action] = [
+            RefuseCaller(refusal.service, refusal.caller, refusal.verdict, refusal.head)
+        ]
+        routing = self._routings.get(refusal.service)
+        if routing is None:
+            return actions
+        return actions + self._compare(sender, routing, refusal.version, now)
+
+    def _compare(
+        self, sender: Address, routing: Routing, version: RoutingVersion, now: float
+    ) -> list[Action]:
+        """Ask a host that routes by something newer than what is known here."""
+        if routing.version.covers(version):
+            return []
+        return list(self.distribution.ask_at_once(sender, routing.view.service, now))
+
+    # --- membership ----------------------------------------------------------------
+
+    def _mark_down(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for address in self.liveness.list_suspects(now, DOWN_AFTER_S):
+            known = self._hosts.get(address)
+            if known is None:
+                self.liveness.forget(address)
+                continue
+            actions += self._mark_host_down(known[0], known[1], now)
+        return actions
+
+    def _mark_host_down(self, number: int, ref: ProcessRef, now: float) -> list[Action]:
+        routing = self._routings.get(number)
+        if routing is None or not self._is_minority_silent(routing):
+            return []
+        member = routing.find_reachable(ref.name)
+        if member is None or member.ref != ref:
+            return []
+        mark = self._down_marks.get(ref)
+        if mark is None:
+            delay = self._random.uniform(0.0, DOWN_SPREAD_S)
+            mark = _DownMark(now + delay, DOWN_REPEAT_LEAST_S)
+            self._down_marks[ref] = mark
+        if now < mark.next_edit:
+            return []
+        mark.next_edit = now + mark.pause_s
+        mark.pause_s = min(DOWN_REPEAT_MOST_S, 2 * mark.pause_s)
+        edit = SetState(ref, MemberState.DOWN)
+        return [EditView(routing.view.service, edit), Count("host_marked_down")]
+
+    def _is_minority_silent(self, routing: Routing) -> bool:
+        silent = sum(
+            self.liveness.is_suspect(member.address) for member in routing.reachable
+        )
+        return 2 * silent <= len(routing.reachable)
+
+    def _find_voter(self, service: str, now: float) -> VoterRole | None:
+        """Return the role in a service whose view may list this balancer."""
+        role = self._voters.get(service)
+        if role is not None:
+            return role
+        view = self.catalogue.find_view(service)
+        if view is None:
+            return None
+        role = VoterRole(service, self.config.ref)
+        role.adopt(view, now)
+        self._voters[service] = role
+        return role
+
+    # --- configuration -------------------------------------------------------------
+
+    def _take_changes(
+        self, sender: Address, changes: Changes, now: float
+    ) -> list[Action]:
+        taken = self.catalogue.accept(changes)
+        actions: list[Action] = []
+        if changes.more and taken:
+            actions += self.distribution.ask_on(sender, changes.service)
+        self.distribution.note_changes(sender, now)
+        if not taken:
+            return actions
+        self._drop_routings({found.kind for found in taken}, taken)
+        for found in taken:
+            if found.kind == "View":
+                self._adopt_view(found.name, now)
+        return actions + self.distribution.push(now)
+
+    def _drop_routings(self, kinds: set[str], taken: list[ConfigObject]) -> None:
+        if kinds & {"DataCentre", "Service"}:
+            self._routings.clear()
+            return
+        for found in taken:
+            if found.kind == "View":
+                self._routings.pop(number_service(found.name), None)
+
+    def _adopt_view(self, service: str, now: float) -> None:
+        view = self.catalogue.find_view(service)
+        if view is None:
+            return
+        listed = any(
+            voter.ref == self.config.ref
+            for voter_set in view.voter_sets
+            for voter in voter_set.voters
+        )
+        role = self._voters.get(service)
+        if role is None and listed:
+            role = self._voters[service] = VoterRole(service, self.config.ref)
+        if role is not None:
+            role.adopt(view, now)
+
+
+__all__ = ["BalancerConfig", "BalancerDecisions"]
--- a/src/balsamstream/core/catalogue.py
+++ b/src/balsamstream/core/catalogue.py
@@ -67,6 +67,7 @@
         self.service = service
         self.complete_to = 0
         self.rejected = 0
+        self.balancers_changed = 0
         self._objects: OrderedDict[tuple[str, str], ConfigObject] = OrderedDict()
         self._profiles: dict[str, Profile] = {}
         self._specs: dict[str, ServiceSpec] = {}
@@ -191,6 +192,8 @@
             return False
         if kind is Kind.DATA_CENTRE:
             self.data_centres_version = max(self.data_centres_version, found.version)
+        if kind is Kind.BALANCER:
+            self.balancers_changed += 1
         if found.spec is None:
             self._forget(kind, found.name)
             return True
--- /dev/null
+++ b/src/balsamstream/core/liveness.py
@@ -0,0 +1,90 @@
+"""Which hosts answer, as one balancer sees it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from .message import Ping, Send
+
+if TYPE_CHECKING:
+    from .identity import Address
+
+PING_AFTER_S: Final = 0.3
+PING_REPEAT_S: Final = 0.2
+SUSPECT_AFTER_S: Final = 1.0
+PROBATION_S: Final = 1.5
+"""Time for a returned host to hear what others placed for it meanwhile."""
+
+
+@dataclass(slots=True)
+class _Wait:
+    since: float
+    pinged: float
+
+
+class Liveness:
+    """Hosts that were sent something and have not been heard since.
+
+    A host at rest costs nothing: it is pinged only while an answer is due.
+    """
+
+    def __init__(self) -> None:
+        self._waits: dict[Address, _Wait] = {}
+        self._suspects: dict[Address, float] = {}
+        self._probation: dict[Address, float] = {}
+        self._number = 0
+
+    def note_sent(self, address: Address, now: float) -> None:
+        """Start to wait for a sign of life."""
+        if address not in self._waits:
+            self._waits[address] = _Wait(now, now)
+
+    def note_heard(self, address: Address, now: float) -> None:
+        """Take any message as a sign of life."""
+        self._waits.pop(address, None)
+        if self._suspects.pop(address, None) is not None:
+            self._probation[address] = now + PROBATION_S
+
+    def is_suspect(self, address: Address) -> bool:
+        """Tell whether a host is passed over."""
+        return address in self._suspects or address in self._probation
+
+    def list_suspects(self, now: float, silent_s: float) -> list[Address]:
+        """Return the hosts suspected for at least ``silent_s`` seconds."""
+        return [
+            address
+            for address, since in self._suspects.items()
+            if now - since >= silent_s
+        ]
+
+    def forget_waits(self) -> None:
+        """Blame nobody for a time in which this process did not run."""
+        self._waits.clear()
+
+    def forget(self, address: Address) -> None:
+        """Drop what is known of a host that is no member any more."""
+        self._waits.pop(address, None)
+        self._suspects.pop(address, None)
+        self._probation.pop(address, None)
+
+    def tick(self, now: float) -> list[Send]:
+        """Ping hosts whose sign of life is due, and suspect the silent ones."""
+        for address, until in list(self._probation.items()):
+            if now >= until:
+                del self._probation[address]
+        sends: list[Send] = []
+        for address, wait in self._waits.items():
+            silent = now - wait.since
+            if silent >= SUSPECT_AFTER_S and address not in self._suspects:
+                self._suspects[address] = now
+            due = silent >= PING_AFTER_S and now - wait.pinged >= PING_REPEAT_S
+            if not due:
+                continue
+            wait.pinged = now
+            self._number += 1
+            sends.append(Send(address, Ping(self._number)))
+        return sends
+
+
+__all__ = ["SUSPECT_AFTER_S", "Liveness"]
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests."""
+"""Tests of balsamstream."""
--- /dev/null
+++ b/tests/core/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions, and the small fakes they run on."""
--- /dev/null
+++ b/tests/core/network.py
@@ -0,0 +1,281 @@
+"""A fake network, platform and backend servers around the real decisions.
+
+Time is virtual and every message waits in a list until a test delivers it, so a test
+may lose, repeat or reorder them.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from balsamstream.core.agent import AgentConfig, AgentDecisions
+from balsamstream.core.balancer import BalancerConfig, BalancerDecisions
+from balsamstream.core.catalogue import list_spare_voters, read_view, write_view
+from balsamstream.core.identity import Address, FlowKey, ProcessRef, RequestKey
+from balsamstream.core.message import (
+    Changes,
+    CloseFlow,
+    ConfigObject,
+    Count,
+    Deliver,
+    EditView,
+    RefuseCaller,
+    RequestKind,
+    ReturnToCaller,
+    Send,
+)
+from balsamstream.core.routing import compute_flow_key
+from balsamstream.core.view import View, edit_view
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamstream.core.message import Action, Message
+    from balsamstream.core.verdict import MayHaveRun, NotRun
+
+TICK_S = 0.05
+PLATFORM = Address("127.0.0.1", 1)
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """A message on its way."""
+
+    sender: Address
+    to: Address
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """A datagram that a backend server was given."""
+
+    host: ProcessRef
+    flow: FlowKey
+    request: RequestKey
+    payload: bytes
+    service: str
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What a caller was told of a request."""
+
+    caller: Address
+    payload: bytes
+    verdict: NotRun | MayHaveRun | None
+
+
+@dataclass
+class FakePlatform:
+    """Objects with one rising version."""
+
+    version: int = 0
+    objects: dict[tuple[str, str], ConfigObject] = field(default_factory=dict)
+    is_down: bool = False
+
+    def put(self, kind: str, name: str, spec: dict[str, Any] | None) -> None:
+        """Store an object in a new version."""
+        self.version += 1
+        found = ConfigObject(kind, name, self.version, spec)
+        self.objects[(kind, name)] = found
+
+    def edit(self, action: EditView) -> None:
+        """Carry out a change of a view."""
+        key = ("View", action.service)
+        held = self.objects.get(key)
+        view = View(action.service, 0)
+        if held is not None and held.spec is not None:
+            view = read_view(action.service, held.spec)
+        spares = list_spare_voters(())
+        changed = edit_view(view, action.edit, spares)
+        if changed is not view:
+            self.put("View", action.service, write_view(changed))
+
+    def list_changes(self) -> Changes:
+        """Return everything as a watch would give it."""
+        objects = sorted(self.objects.values(), key=lambda found: found.version)
+        return Changes(0, self.version, False, False, tuple(objects))
+
+
+class Network:
+    """Balancers, agents and backend servers that live in one list of messages."""
+
+    def __init__(self, seed: int = 1, delay_s: float = 0.001) -> None:
+        self.now = 100.0
+        self.delay_s = delay_s
+        self.random = random.Random(seed)
+        self.platform = FakePlatform()
+        self.agents: dict[str, AgentDecisions] = {}
+        self.balancers: dict[str, BalancerDecisions] = {}
+        self.processes: dict[Address, AgentDecisions | BalancerDecisions] = {}
+        self.frozen: set[Address] = set()
+        self.is_cut: Callable[[Address, Address], bool] = lambda sender, to: False
+        self.bag: list[Envelope] = []
+        self.runs: list[Run] = []
+        self.told: list[Told] = []
+        self.closed: list[tuple[str, FlowKey]] = []
+        self.counts: dict[str, int] = {}
+        self.auto_answer = True
+        self._incarnation = 0
+
+    def declare(
+        self, service: str, port: int, profile: dict[str, Any] | None = None
+    ) -> None:
+        """Declare a service with a profile of its own."""
+        self.platform.put("Profile", f"{service}-profile", profile or {})
+        spec = {"address": f"127.0.0.1:{port}", "profile": f"{service}-profile"}
+        self.platform.put("Service", service, spec)
+
+    def add_agent(
+        self, name: str, service: str, data_centre: str = "medina", slots: int = 2
+    ) -> AgentDecisions:
+        """Start an agent, or start it again in a new incarnation."""
+        self._incarnation += 1
+        port = 7000 + sum(name.encode()) * 7 % 1000
+        while any(agent.port == port for agent in self._taken(name)):
+            port += 1
+        address = Address("127.0.0.1", port)
+        balancers = tuple(known.config.address for known in self.balancers.values())
+        ref = ProcessRef(name, self._incarnation)
+        config = AgentConfig(ref, address, service, data_centre, slots, balancers)
+        agent = AgentDecisions(config, random.Random(self._incarnation))
+        self.agents[name] = agent
+        self.processes[address] = agent
+        return agent
+
+    def _taken(self, name: str) -> list[Address]:
+        return [
+            agent.state.config.address
+            for known, agent in self.agents.items()
+            if known != name
+        ]
+
+    def add_balancer(self, name: str, data_centre: str = "medina") -> BalancerDecisions:
+        """Start a balancer."""
+        self._incarnation += 1
+        address = Address("127.0.0.1", 6000 + len(self.balancers))
+        config = BalancerConfig(
+            ProcessRef(name, self._incarnation), address, data_centre
+        )
+        balancer = BalancerDecisions(config, random.Random(self._incarnation))
+        self.balancers[name] = balancer
+        self.processes[address] = balancer
+        return balancer
+
+    def stop(self, address: Address) -> None:
+        """Kill a process: nothing reaches it any more."""
+        self.processes.pop(address, None)
+
+    def send_request(
+        self,
+        balancer: str,
+        service: str,
+        caller: Address,
+        request: int,
+        kind: RequestKind = RequestKind.REPEATABLE,
+        payload: bytes = b"request",
+    ) -> None:
+        """Have a caller's datagram enter at a balancer."""
+        decisions = self.balancers[balancer]
+        entry = decisions.catalogue.find_service(service)
+        assert entry is not None
+        flow = compute_flow_key(service, caller)
+        actions = decisions.route(
+            entry, flow, caller, kind, RequestKey(request), payload, self.now
+        )
+        self.carry_out(decisions.config.address, actions)
+
+    def carry_out(self, source: Address, actions: list[Action]) -> None:
+        """Do what a process decided."""
+        for action in actions:
+            match action:
+                case Send(to, message):
+                    self.bag.append(Envelope(source, to, message))
+                case Deliver():
+                    self._deliver(source, action)
+                case EditView():
+                    if not self.platform.is_down:
+                        self.platform.edit(action)
+                case ReturnToCaller(_, caller, payload):
+                    self.told.append(Told(caller, payload, None))
+                case RefuseCaller(_, caller, verdict, head):
+                    self.told.append(Told(caller, head, verdict))
+                case CloseFlow(flow):
+                    self.closed.append((self._find_agent(source), flow))
+                case Count(name, amount):
+                    self.counts[name] = self.counts.get(name, 0) + amount
+                case _:
+                    continue
+
+    def deliver(self, envelope: Envelope) -> None:
+        """Give one message to its receiver."""
+        process = self.processes.get(envelope.to)
+        if process is None or envelope.to in self.frozen:
+            return
+        if self.is_cut(envelope.sender, envelope.to):
+            return
+        actions = process.receive(envelope.sender, envelope.message, self.now)
+        self.carry_out(envelope.to, actions)
+
+    def settle(self, rounds: int = 40) -> None:
+        """Deliver all messages in order until none is left."""
+        for _ in range(rounds):
+            bag, self.bag = self.bag, []
+            if not bag:
+                return
+            self.now += self.delay_s
+            for envelope in bag:
+                self.deliver(envelope)
+
+    def step(self) -> None:
+        """Let one tick pass everywhere, with all its messages."""
+        self.now += TICK_S
+        self.feed_watches()
+        for address, process in list(self.processes.items()):
+            if address in self.frozen:
+                continue
+            self.carry_out(address, process.tick(self.now))
+        self.settle()
+
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass everywhere."""
+        for _ in range(round(seconds / TICK_S)):
+            self.step()
+
+    def feed_watches(self) -> None:
+        """Give the balancers that watch the platform what it holds."""
+        if self.platform.is_down:
+            return
+        changes = self.platform.list_changes()
+        for balancer in self.balancers.values():
+            address = balancer.config.address
+            if address not in self.processes or address in self.frozen:
+                continue
+            if not balancer.should_watch:
+                continue
+            self.carry_out(address, balancer.receive(address, changes, self.now))
+
+    def _find_agent(self, address: Address) -> str:
+        process = self.processes.get(address)
+        assert isinstance(process, AgentDecisions)
+        return process.state.config.ref.name
+
+    def _deliver(self, source: Address, action: Deliver) -> None:
+        agent = self.processes[source]
+        assert isinstance(agent, AgentDecisions)
+        config = agent.state.config
+        self.runs.append(
+            Run(config.ref, action.flow, action.request, action.payload, config.service)
+        )
+        if not self.auto_answer:
+            return
+        answer = agent.take_answer(
+            action.flow, action.request, b"answer " + action.payload, self.now
+        )
+        self.carry_out(source, answer)
+
+
+__all__ = ["Envelope", "FakePlatform", "Network", "Run", "Told"]
