--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The whole path on one machine, with the operator's changes and some failures."""
--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,102 @@
+"""What the stand-ins share: HTTP listeners, batches of datagrams, a clean stop."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+from typing import TYPE_CHECKING, Final
+
+from aiohttp import web
+
+from .addresses import Address, format_address
+
+if TYPE_CHECKING:
+    import ssl
+    from collections.abc import Callable
+
+SOCKET_BUFFER_BYTES: Final = 4 << 20
+LARGEST_DATAGRAM_BYTES: Final = 65_535
+BATCH_DATAGRAMS: Final = 256
+HTTP_SHUTDOWN_S: Final = 0.2
+
+
+async def start_http(
+    application: web.Application,
+    address: Address,
+    tls: ssl.SSLContext | None = None,
+) -> tuple[web.AppRunner, str]:
+    """Start an HTTP listener.
+
+    Returns
+    -------
+    tuple of AppRunner and str
+        The runner, to be cleaned up by its owner, and the address it listens on.
+    """
+    runner = web.AppRunner(
+        application,
+        access_log=None,
+        shutdown_timeout=HTTP_SHUTDOWN_S,
+        handler_cancellation=True,
+    )
+    await runner.setup()
+    await web.TCPSite(runner, *address, ssl_context=tls).start()
+    host, port = runner.addresses[0][:2]
+    return runner, format_address((host, port))
+
+
+def open_datagram_socket(address: Address) -> socket.socket:
+    """Bind a non-blocking UDP socket with large buffers."""
+    opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    opened.setblocking(False)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
+    opened.bind(address)
+    return opened
+
+
+def drain_socket(
+    readable: socket.socket, handle: Callable[[bytes, Address], None]
+) -> None:
+    """Hand a batch of waiting datagrams to `handle`."""
+    for _ in range(BATCH_DATAGRAMS):
+        try:
+            datagram, source = readable.recvfrom(LARGEST_DATAGRAM_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            # An ICMP error of an earlier datagram; the next receive goes on.
+            continue
+        handle(datagram, source)
+
+
+def send_datagram(sender: socket.socket, datagram: bytes, target: Address) -> None:
+    """Send a datagram, or lose it where the socket can take no more."""
+    try:
+        sender.sendto(datagram, target)
+    except OSError:
+        return
+
+
+def print_ready(*addresses: str) -> None:
+    """Tell the starting process that this one listens."""
+    print("ready", *addresses, flush=True)
+
+
+async def wait_for_stop() -> None:
+    """Wait for SIGTERM or SIGINT."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
+
+
+__all__ = [
+    "drain_socket",
+    "open_datagram_socket",
+    "print_ready",
+    "send_datagram",
+    "start_http",
+    "wait_for_stop",
+]
