--- /dev/null
+++ b/standins/backend_server.py
@@ -0,0 +1,625 @@
+"""A CoAP backend server with limited slots, a cold start and a health page.
+
+``python -m standins.backend_server --host comptoir-1 --service comptoir``
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import secrets
+import time
+from collections import OrderedDict, deque
+from dataclasses import dataclass
+from pathlib import Path  # noqa: TC003 - read by cyclopts when the program runs
+from typing import TYPE_CHECKING, Annotated, Any, Final
+
+from aiocoap import Message
+from aiocoap.numbers import codes
+from aiocoap.numbers.types import Type
+from aiohttp import web
+from cyclopts import App, Parameter
+
+from .addresses import LOOPBACK, Address, format_address, parse_address
+from .capacity import Capacity, Limits
+from .coap import (
+    MessageIds,
+    build_answer,
+    build_empty,
+    decode_message,
+    read_deadline_ms,
+    read_query,
+)
+from .content import SERVICE_OF_PATH, build_document, choose_size, compute_price
+from .events import (
+    ColdWork,
+    Expired,
+    Misdirected,
+    ObservationEnded,
+    ObservationStarted,
+    Overloaded,
+    PacketsReceived,
+    RecordFile,
+    Run,
+    Started,
+)
+from .observers import GROUP_INTERVAL_S, MOST_UNCONFIRMED, Observer, Observers
+from .serving import (
+    drain_socket,
+    open_datagram_socket,
+    print_ready,
+    send_datagram,
+    start_http,
+    wait_for_stop,
+)
+
+if TYPE_CHECKING:
+    import socket
+
+    from aiocoap.options import Options
+
+JSON_FORMAT: Final = 50
+BLOCK_SIZE_EXPONENT: Final = 5
+REMEMBERED_REQUESTS: Final = 20_000
+EXPIRED_MAX_AGE_S: Final = 1
+PACKETS_INTERVAL_S: Final = 1.0
+STOP_GRACE_S: Final = 2.0
+STOP_POLL_S: Final = 0.02
+REGISTER: Final = 0
+DEREGISTER: Final = 1
+
+app = App(name="backend_server", help=__doc__)
+
+
+@dataclass(slots=True)
+class Faults:
+    """What goes wrong.
+
+    Attributes
+    ----------
+    lie : bool
+        The health page says that all is well, and no load.
+    fail_requests : float
+        Share of requests answered with 5.00, unrun.
+    slow_ms : float
+        Time that each request takes longer.
+    health_lag_s : float
+        Age of what the health page says.
+    """
+
+    lie: bool = False
+    fail_requests: float = 0.0
+    slow_ms: float = 0.0
+    health_lag_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """A request that waits for a slot."""
+
+    message: Message
+    endpoint: Address
+    deadline: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class Health:
+    """What the health page said at a time."""
+
+    time: float
+    ok: bool
+    load: float
+    observers: int
+
+
+class BackendServer:
+    """Answers requests that arrive by UDP.
+
+    Parameters
+    ----------
+    host : str
+        Name of the host it runs on.
+    services : list of str
+        Names of what it serves.
+    limits : Limits
+        What it bears.
+    record : RecordFile
+        Where it records what it does.
+    seed : int
+        Seed of its random choices.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        services: list[str],
+        limits: Limits,
+        record: RecordFile,
+        seed: int = 0,
+    ) -> None:
+        self.faults = Faults()
+        self._host = host
+        self._services = services
+        self._record = record
+        self._random = random.Random(seed)
+        self._capacity = Capacity(limits, time.monotonic())
+        self._incarnation = secrets.token_hex(4)
+        self._ids = MessageIds(secrets.randbelow(1 << 16))
+        self._observers = Observers()
+        self._answers: OrderedDict[tuple[Address, int], bytes | None] = OrderedDict()
+        self._waiting: deque[Work] = deque()
+        self._working = 0
+        self._fallen = False
+        self._packets = 0
+        self._last_packet = 0.0
+        self._socket: socket.socket | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._history: deque[Health] = deque(maxlen=1_000)
+
+    async def start(self, address: Address) -> Address:
+        """Listen.
+
+        Returns
+        -------
+        Address
+            The address it listens on.
+        """
+        loop = asyncio.get_running_loop()
+        self._socket = open_datagram_socket(address)
+        loop.add_reader(self._socket, drain_socket, self._socket, self._take_datagram)
+        self._tasks = [
+            loop.create_task(self._notify_observers()),
+            loop.create_task(self._record_packets()),
+        ]
+        self._record_start(announced=True)
+        bound: Address = self._socket.getsockname()
+        return bound
+
+    async def finish_work(self) -> None:
+        """Wait until no request is in flight, but not for long."""
+        deadline = time.monotonic() + STOP_GRACE_S
+        while self._capacity.in_flight and time.monotonic() < deadline:
+            await asyncio.sleep(STOP_POLL_S)
+
+    def close(self) -> None:
+        """Stop listening."""
+        for task in self._tasks:
+            task.cancel()
+        if self._socket is not None:
+            asyncio.get_running_loop().remove_reader(self._socket)
+            self._socket.close()
+            self._socket = None
+
+    def restart(self) -> None:
+        """Forget everything and start cold, as a process of its own would."""
+        self._forget("restart")
+        self._fallen = False
+        self._record_start(announced=False)
+
+    def describe_health(self) -> Health:
+        """Say how the backend server fares, as its faults have it."""
+        now = time.monotonic()
+        bearable = self._capacity.compute_bearable(now)
+        load = self._capacity.in_flight / bearable
+        health = Health(now, not self._fallen, load, len(self._observers))
+        self._history.append(health)
+        if self.faults.lie:
+            return Health(now, True, 0.0, 0)
+        aged = [h for h in self._history if h.time <= now - self.faults.health_lag_s]
+        return aged[-1] if aged else self._history[0]
+
+    def _record_start(self, announced: bool) -> None:
+        now = time.time()
+        cold_until = now + self._capacity.limits.cold_s
+        self._record.append(
+            Started(
+                now,
+                self._host,
+                self._incarnation,
+                self._services,
+                cold_until,
+                announced,
+            )
+        )
+
+    def _forget(self, reason: str) -> None:
+        for observer in self._observers:
+            self._record_observation_end(observer, reason)
+        self._observers.clear()
+        self._answers.clear()
+        self._waiting.clear()
+        self._working = 0
+        self._incarnation = secrets.token_hex(4)
+        self._capacity.start_cold(time.monotonic())
+
+    def _take_datagram(self, datagram: bytes, endpoint: Address) -> None:
+        self._packets += 1
+        self._last_packet = time.time()
+        if self._fallen:
+            return
+        message = decode_message(datagram)
+        if message is None:
+            return
+        if message.code.is_request():
+            self._take_request(message, endpoint)
+            return
+        if message.mtype == Type.CON:
+            self._send(build_empty(Type.RST, message.mid), endpoint)
+            return
+        self._take_confirmation(message, endpoint)
+
+    def _take_confirmation(self, message: Message, endpoint: Address) -> None:
+        observer = self._observers.find_notified(endpoint, message.mid)
+        if observer is None:
+            return
+        if message.mtype == Type.ACK:
+            observer.unconfirmed = 0
+            return
+        self._end_observation(observer, "reset")
+
+    def _take_request(self, message: Message, endpoint: Address) -> None:
+        key = (endpoint, message.mid)
+        if key in self._answers:
+            known = self._answers[key]
+            if known is not None:
+                self._send(known, endpoint)
+            return
+        self._answers[key] = None
+        if len(self._answers) > REMEMBERED_REQUESTS:
+            self._answers.popitem(last=False)
+        path = message.opt.uri_path[0] if message.opt.uri_path else ""
+        if SERVICE_OF_PATH.get(path) not in self._services:
+            self._record.append(Misdirected(time.time(), self._host, path))
+            self._answer(message, endpoint, build_answer(message, codes.NOT_FOUND))
+            return
+        if self.faults.fail_requests > self._random.random():
+            failure = build_answer(message, codes.INTERNAL_SERVER_ERROR)
+            self._answer(message, endpoint, failure)
+            return
+        self._admit(message, endpoint)
+
+    def _admit(self, message: Message, endpoint: Address) -> None:
+        now = time.monotonic()
+        borne = self._capacity.take(now)
+        if self._capacity.note_cold_peak(now):
+            self._record.append(self._describe_load(ColdWork, now))
+        if not borne:
+            self._fall_over(now)
+            return
+        left_ms = read_deadline_ms(message.opt)
+        deadline = None if left_ms is None else now + left_ms / 1_000
+        self._waiting.append(Work(message, endpoint, deadline))
+        self._begin_waiting()
+
+    def _describe_load(
+        self, event_type: type[ColdWork] | type[Overloaded], now: float
+    ) -> ColdWork | Overloaded:
+        return event_type(
+            time.time(),
+            self._host,
+            self._incarnation,
+            self._capacity.in_flight,
+            self._capacity.compute_bearable(now),
+        )
+
+    def _fall_over(self, now: float) -> None:
+        self._record.append(self._describe_load(Overloaded, now))
+        self._fallen = True
+        self._forget("overload")
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._capacity.limits.fall_s, self.restart)
+
+    def _begin_waiting(self) -> None:
+        while self._waiting and self._working < self._capacity.limits.slots:
+            work = self._waiting.popleft()
+            now = time.monotonic()
+            if work.deadline is not None and now >= work.deadline:
+                self._expire(work)
+                continue
+            self._working += 1
+            self._record_run(work)
+            work_s = self._capacity.compute_work_s(now) + self.faults.slow_ms / 1_000
+            loop = asyncio.get_running_loop()
+            loop.call_later(work_s, self._finish, work, self._incarnation)
+
+    def _expire(self, work: Work) -> None:
+        self._capacity.release()
+        request, attempt = identify_request(work.message)
+        self._record.append(Expired(time.time(), self._host, request, attempt))
+        refusal = build_answer(work.message, codes.SERVICE_UNAVAILABLE)
+        refusal.opt.max_age = EXPIRED_MAX_AGE_S
+        self._answer(work.message, work.endpoint, refusal)
+
+    def _record_run(self, work: Work) -> None:
+        request, attempt = identify_request(work.message)
+        self._record.append(
+            Run(
+                time=time.time(),
+                host=self._host,
+                incarnation=self._incarnation,
+                service=SERVICE_OF_PATH[work.message.opt.uri_path[0]],
+                method=work.message.code.name,
+                request=request,
+                attempt=attempt,
+                endpoint=format_address(work.endpoint),
+            )
+        )
+
+    def _finish(self, work: Work, incarnation: str) -> None:
+        if incarnation != self._incarnation:
+            return
+        self._working -= 1
+        self._capacity.release()
+        answer = self._build_content(work)
+        self._answer(work.message, work.endpoint, answer)
+        self._begin_waiting()
+
+    def _build_content(self, work: Work) -> Message:
+        message = work.message
+        query = read_query(message.opt)
+        match (message.code, *message.opt.uri_path):
+            case (codes.GET, "stock"):
+                return self._answer_board(work, query)
+            case (codes.POST, "basket"):
+                return self._answer_order(message)
+            case (codes.GET, "sheet" | "guide" as path, identifier):
+                return build_block(message, build_document(path, identifier))
+            case (codes.GET, "fit"):
+                size = choose_size(int(query["height"]), int(query["inseam"]))
+                return self._build_json(message, id=query.get("id"), size=size)
+            case (codes.GET, "chart"):
+                return self._build_json(message, id=query.get("id"), chart="40-180 cm")
+            case _:
+                return build_answer(message, codes.METHOD_NOT_ALLOWED)
+
+    def _answer_board(self, work: Work, query: dict[str, str]) -> Message:
+        message, endpoint = work.message, work.endpoint
+        board = query.get("board", "")
+        answer = self._build_json(message, board=board)
+        known = self._observers.find(endpoint, message.token)
+        match message.opt.observe:
+            case 0:
+                observer = known or Observer(endpoint, message.token, board)
+                observer.advance()
+                answer.opt.observe = observer.sequence
+                if known is None:
+                    self._add_observer(observer)
+            case 1 if known is not None:
+                self._end_observation(known, "deregistered")
+        return answer
+
+    def _answer_order(self, message: Message) -> Message:
+        try:
+            order = json.loads(message.payload)
+            identifier, attempt = order["id"], order.get("attempt", 1)
+        except (ValueError, KeyError, TypeError):
+            return build_answer(message, codes.BAD_REQUEST)
+        answer = self._build_json(
+            message, id=identifier, attempt=attempt, price=compute_price(identifier)
+        )
+        answer.code = codes.CHANGED
+        return answer
+
+    def _build_json(self, request: Message, **fields: str | int | None) -> Message:
+        service = SERVICE_OF_PATH[request.opt.uri_path[0]]
+        payload = self._describe(service, **fields)
+        answer = build_answer(request, codes.CONTENT, payload)
+        answer.opt.content_format = JSON_FORMAT
+        return answer
+
+    def _describe(self, service: str, **fields: str | int | None) -> bytes:
+        common = {
+            "service": service,
+            "host": self._host,
+            "incarnation": self._incarnation,
+        }
+        return json.dumps({**common, **fields}).encode()
+
+    def _answer(self, request: Message, endpoint: Address, answer: Message) -> None:
+        encoded = answer.encode()
+        self._answers[endpoint, request.mid] = encoded
+        self._send(encoded, endpoint)
+
+    def _send(self, datagram: bytes, endpoint: Address) -> None:
+        if self._socket is not None:
+            send_datagram(self._socket, datagram, endpoint)
+
+    def _add_observer(self, observer: Observer) -> None:
+        self._observers.add(observer)
+        self._record.append(
+            ObservationStarted(
+                time.time(),
+                self._host,
+                self._incarnation,
+                observer.board,
+                format_address(observer.endpoint),
+            )
+        )
+
+    def _end_observation(self, observer: Observer, reason: str) -> None:
+        self._observers.remove(observer)
+        self._record_observation_end(observer, reason)
+
+    def _record_observation_end(self, observer: Observer, reason: str) -> None:
+        self._record.append(
+            ObservationEnded(
+                time.time(),
+                self._host,
+                self._incarnation,
+                observer.board,
+                format_address(observer.endpoint),
+                reason,
+            )
+        )
+
+    async def _notify_observers(self) -> None:
+        number = 0
+        due_at = time.monotonic()
+        while True:
+            due_at += GROUP_INTERVAL_S
+            await asyncio.sleep(max(0.0, due_at - time.monotonic()))
+            number += 1
+            for observer in self._observers.list_group(number):
+                self._notify(observer)
+
+    def _notify(self, observer: Observer) -> None:
+        confirm = observer.advance()
+        if confirm:
+            observer.unconfirmed += 1
+        if observer.unconfirmed > MOST_UNCONFIRMED:
+            self._end_observation(observer, "unconfirmed")
+            return
+        message_id = self._ids.draw()
+        observer.message_ids.append(message_id)
+        notification = Message(
+            code=codes.CONTENT,
+            payload=self._describe("comptoir", board=observer.board),
+            _mtype=Type.CON if confirm else Type.NON,
+            _mid=message_id,
+            _token=observer.token,
+        )
+        notification.opt.observe = observer.sequence
+        notification.opt.content_format = JSON_FORMAT
+        self._send(notification.encode(), observer.endpoint)
+
+    async def _record_packets(self) -> None:
+        while True:
+            await asyncio.sleep(PACKETS_INTERVAL_S)
+            if not self._packets:
+                continue
+            self._record.append(
+                PacketsReceived(
+                    time.time(), self._host, self._packets, self._last_packet
+                )
+            )
+            self._packets = 0
+
+
+def identify_request(message: Message) -> tuple[str, int]:
+    """Find the caller's own name of a request, and the number of the attempt."""
+    if message.payload:
+        try:
+            order = json.loads(message.payload)
+            return str(order["id"]), int(order.get("attempt", 1))
+        except (ValueError, KeyError, TypeError, AttributeError):
+            return "", 1
+    options: Options = message.opt
+    query = read_query(options)
+    request = query.get("id", "")
+    if options.block2 is not None and options.block2.block_number:
+        request = f"{request}#{options.block2.block_number}"
+    return request, int(query.get("attempt", "1"))
+
+
+def build_block(request: Message, document: bytes) -> Message:
+    """Build the answer with the block that a request asks for."""
+    wanted = request.opt.block2
+    exponent = BLOCK_SIZE_EXPONENT
+    number = 0
+    if wanted is not None:
+        exponent = min(exponent, wanted.size_exponent)
+        number = wanted.start // (1 << (exponent + 4))
+    size = 1 << (exponent + 4)
+    block = document[number * size : (number + 1) * size]
+    if not block:
+        return build_answer(request, codes.BAD_OPTION)
+    answer = build_answer(request, codes.CONTENT, block)
+    answer.opt.block2 = (number, (number + 1) * size < len(document), exponent)
+    answer.opt.size2 = len(document)
+    return answer
+
+
+class Control:
+    """The health page and the control of faults."""
+
+    def __init__(self, backend_server: BackendServer) -> None:
+        self._backend_server = backend_server
+
+    def build(self) -> web.Application:
+        """Build the application with all routes."""
+        application = web.Application()
+        application.add_routes(
+            [
+                web.get("/health", self._get_health),
+                web.post("/faults", self._change_faults),
+            ]
+        )
+        return application
+
+    async def _get_health(self, _request: web.Request) -> web.Response:
+        health = self._backend_server.describe_health()
+        body = {"ok": health.ok, "load": health.load, "observers": health.observers}
+        return web.json_response(body, status=200 if health.ok else 503)
+
+    async def _change_faults(self, request: web.Request) -> web.Response:
+        body: dict[str, Any] = await request.json()
+        if body.pop("restart", False):
+            self._backend_server.restart()
+        faults = self._backend_server.faults
+        for name, value in body.items():
+            setattr(faults, name, type(getattr(faults, name))(value))
+        return web.json_response({})
+
+
+@app.default
+def main(
+    *,
+    host: str,
+    service: Annotated[list[str], Parameter(negative="")],
+    listen: str = f"{LOOPBACK}:0",
+    control: str = f"{LOOPBACK}:0",
+    record: Path | None = None,
+    limits: Annotated[Limits, Parameter(name="*")] = Limits(),  # noqa: B008
+    seed: int = 0,
+) -> None:
+    """Run a backend server until SIGTERM.
+
+    Parameters
+    ----------
+    host : str
+        Name of its host.
+    service : list of str
+        What it serves: comptoir, etiquettes, fitter, guides; may be repeated.
+    listen : str
+        UDP address; port 0 takes a free one.
+    control : str
+        Address of the health page and the control of faults.
+    record : Path
+        File for the record of what it did.
+    limits : Limits
+        What it bears.
+    seed : int
+        Seed of its random choices.
+    """
+    record_file = RecordFile(record)
+    backend_server = BackendServer(host, service, limits, record_file, seed)
+    asyncio.run(_run(backend_server, parse_address(listen), parse_address(control)))
+    record_file.close()
+
+
+async def _run(
+    backend_server: BackendServer, listen: Address, control: Address
+) -> None:
+    address = await backend_server.start(listen)
+    application = Control(backend_server).build()
+    runner, control_address = await start_http(application, control)
+    print_ready(format_address(address), control_address)
+    await wait_for_stop()
+    await backend_server.finish_work()
+    await runner.cleanup()
+    backend_server.close()
+
+
+if __name__ == "__main__":
+    app()
+
+__all__ = [
+    "BackendServer",
+    "Control",
+    "Faults",
+    "Health",
+    "Work",
+    "build_block",
+    "identify_request",
+]
--- /dev/null
+++ b/standins/coap.py
@@ -0,0 +1,81 @@
+"""CoAP messages over raw datagrams, by the codec of aiocoap."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from aiocoap import Message
+from aiocoap.error import UnparsableMessage
+from aiocoap.numbers import EMPTY, Code
+from aiocoap.numbers.optionnumbers import OptionNumber
+from aiocoap.numbers.types import Type
+
+if TYPE_CHECKING:
+    from aiocoap.options import Options
+
+DEADLINE_OPTIONS: Final = (OptionNumber(65000), OptionNumber(65001))
+LARGEST_MESSAGE_ID: Final = 0xFFFF
+LARGEST_OBSERVE: Final = 0xFFFFFF
+
+
+def decode_message(datagram: bytes) -> Message | None:
+    """Read a message, or nothing where the datagram is not one."""
+    try:
+        return Message.decode(datagram)
+    except (UnparsableMessage, ValueError, IndexError):
+        return None
+
+
+def build_empty(message_type: Type, message_id: int) -> bytes:
+    """Build an empty acknowledgement or reset."""
+    return Message(code=EMPTY, _mtype=message_type, _mid=message_id).encode()
+
+
+def build_answer(request: Message, code: Code, payload: bytes = b"") -> Message:
+    """Build an answer that carries the acknowledgement of a confirmable request."""
+    confirmable = request.mtype == Type.CON
+    return Message(
+        code=code,
+        payload=payload,
+        _mtype=Type.ACK if confirmable else Type.NON,
+        _mid=request.mid,
+        _token=request.token,
+    )
+
+
+def read_query(options: Options) -> dict[str, str]:
+    """Read the ``name=value`` parts of the query."""
+    pairs = (part.partition("=") for part in options.uri_query)
+    return {name: value for name, _, value in pairs}
+
+
+def read_deadline_ms(options: Options) -> int | None:
+    """Read the time left for a request, where it has a deadline."""
+    for number in DEADLINE_OPTIONS:
+        for option in options.get_option(number):
+            return int.from_bytes(option.value, "big")
+    return None
+
+
+class MessageIds:
+    """Message identifiers in rising order, starting over after the largest."""
+
+    def __init__(self, first: int) -> None:
+        self._next = first
+
+    def draw(self) -> int:
+        """Return the next identifier."""
+        drawn = self._next
+        self._next = (drawn + 1) & LARGEST_MESSAGE_ID
+        return drawn
+
+
+__all__ = [
+    "LARGEST_OBSERVE",
+    "MessageIds",
+    "build_answer",
+    "build_empty",
+    "decode_message",
+    "read_deadline_ms",
+    "read_query",
+]
--- /dev/null
+++ b/standins/content.py
@@ -0,0 +1,60 @@
+"""Contents that follow from their identifiers, so that a caller can check an answer."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Final
+
+COMPTOIR: Final = "comptoir"
+ETIQUETTES: Final = "etiquettes"
+FITTER: Final = "fitter"
+GUIDES: Final = "guides"
+
+SERVICE_OF_PATH: Final = {
+    "stock": COMPTOIR,
+    "basket": COMPTOIR,
+    "sheet": ETIQUETTES,
+    "fit": FITTER,
+    "chart": FITTER,
+    "guide": GUIDES,
+}
+
+LEAST_LINES: Final = 30
+MOST_EXTRA_LINES: Final = 60
+CM_PER_INCH: Final = 2.54
+WHEEL_SIZES_INCH: Final = (12, 14, 16, 18, 20, 24, 26)
+
+
+def build_document(path: str, identifier: str) -> bytes:
+    """Build a label sheet or fitting guide of several kilobytes."""
+    digest = hashlib.sha256(f"{path}/{identifier}".encode()).digest()
+    count = LEAST_LINES + digest[0] % MOST_EXTRA_LINES
+    lines = [f"{path} {identifier}"]
+    for number in range(count):
+        line = hashlib.sha256(digest + number.to_bytes(2, "big")).hexdigest()
+        lines.append(line)
+    return "\n".join(lines).encode()
+
+
+def compute_price(order: str) -> int:
+    """Compute the price of an order, in hundredths."""
+    digest = hashlib.sha256(order.encode()).digest()
+    return 100 + int.from_bytes(digest[:2], "big") % 5_000
+
+
+def choose_size(height_cm: int, inseam_cm: int) -> int:
+    """Choose the wheel size, in inches, for a child's height and inseam."""
+    wanted = (height_cm / 7 + inseam_cm / CM_PER_INCH) / 2
+    return min(WHEEL_SIZES_INCH, key=lambda size: abs(size - wanted))
+
+
+__all__ = [
+    "COMPTOIR",
+    "ETIQUETTES",
+    "FITTER",
+    "GUIDES",
+    "SERVICE_OF_PATH",
+    "build_document",
+    "choose_size",
+    "compute_price",
+]
--- /dev/null
+++ b/standins/events.py
@@ -0,0 +1,286 @@
+"""What callers and backend servers put on record, as JSON lines.
+
+Times are seconds since the epoch, by the clock of the machine that all share.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict, dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING, Any, Final, TypeAlias
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+
+
+class Outcome(StrEnum):
+    """How an attempt ended for its caller."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+    RETRIED = "retried"
+    FAILED = "failed"
+    LOST = "lost"
+
+
+class BreakReason(StrEnum):
+    """Why a flow counts as broken."""
+
+    SILENT = "silent"
+    ENDED = "ended"
+    MOVED = "moved"
+
+
+@dataclass(frozen=True, slots=True)
+class Started:
+    """A backend server came up, or forgot everything without notice."""
+
+    time: float
+    host: str
+    incarnation: str
+    services: list[str]
+    cold_until: float
+    announced: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """A backend server ran a request."""
+
+    time: float
+    host: str
+    incarnation: str
+    service: str
+    method: str
+    request: str
+    attempt: int
+    endpoint: str
+
+
+@dataclass(frozen=True, slots=True)
+class Misdirected:
+    """A backend server met a request for a service that is not its own."""
+
+    time: float
+    host: str
+    path: str
+
+
+@dataclass(frozen=True, slots=True)
+class Expired:
+    """A backend server dropped a request unrun, as its deadline had passed."""
+
+    time: float
+    host: str
+    request: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class ObservationStarted:
+    """A backend server took an observer."""
+
+    time: float
+    host: str
+    incarnation: str
+    board: str
+    endpoint: str
+
+
+@dataclass(frozen=True, slots=True)
+class ObservationEnded:
+    """A backend server gave an observer up."""
+
+    time: float
+    host: str
+    incarnation: str
+    board: str
+    endpoint: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class ColdWork:
+    """A backend server in its cold start met more work at once than before."""
+
+    time: float
+    host: str
+    incarnation: str
+    in_flight: int
+    bears: float
+
+
+@dataclass(frozen=True, slots=True)
+class Overloaded:
+    """A backend server fell over under more work than it bears."""
+
+    time: float
+    host: str
+    incarnation: str
+    in_flight: int
+    bears: float
+
+
+@dataclass(frozen=True, slots=True)
+class PacketsReceived:
+    """Datagrams that a backend server received within about a second."""
+
+    time: float
+    host: str
+    packets: int
+    last: float
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """An attempt of a caller ended."""
+
+    time: float
+    begun: float
+    caller: str
+    kind: str
+    request: str
+    attempt: int
+    outcome: Outcome
+    status: str
+    host: str
+    transmissions: int
+
+
+@dataclass(frozen=True, slots=True)
+class Crossed:
+    """A caller got the answer to another request."""
+
+    time: float
+    caller: str
+    request: str
+    got: str
+
+
+@dataclass(frozen=True, slots=True)
+class WronglyServed:
+    """A caller got an answer of another service than the one it asked."""
+
+    time: float
+    caller: str
+    request: str
+    service: str
+
+
+@dataclass(frozen=True, slots=True)
+class FlowEstablished:
+    """A caller's flow got its first answer."""
+
+    time: float
+    caller: str
+    kind: str
+    host: str
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True)
+class FlowBroken:
+    """An established flow fell silent, was ended by the other side or moved."""
+
+    time: float
+    caller: str
+    kind: str
+    host: str
+    incarnation: str
+    reason: BreakReason
+    last_seen: float
+
+
+@dataclass(frozen=True, slots=True)
+class FlowClosed:
+    """A caller ended its flow by its own choice."""
+
+    time: float
+    caller: str
+    kind: str
+    host: str
+
+
+Event: TypeAlias = (
+    Started
+    | Run
+    | Misdirected
+    | Expired
+    | ObservationStarted
+    | ObservationEnded
+    | ColdWork
+    | Overloaded
+    | PacketsReceived
+    | Finished
+    | Crossed
+    | WronglyServed
+    | FlowEstablished
+    | FlowBroken
+    | FlowClosed
+)
+
+EVENT_TYPES: Final[dict[str, type[Event]]] = {
+    event_type.__name__: event_type for event_type in Event.__args__
+}
+
+
+class RecordFile:
+    """A file that takes events, one line each, written through at once.
+
+    Parameters
+    ----------
+    path : Path or None
+        The file; without one the events are dropped.
+    """
+
+    def __init__(self, path: Path | None) -> None:
+        self._file = None if path is None else path.open("ab", buffering=0)
+
+    def append(self, event: Event) -> None:
+        """Write one event."""
+        if self._file is None:
+            return
+        line = {"event": type(event).__name__, **asdict(event)}
+        self._file.write(json.dumps(line).encode() + b"\n")
+
+    def close(self) -> None:
+        """Close the file."""
+        if self._file is not None:
+            self._file.close()
+
+
+def read_events(path: Path) -> Iterator[Event]:
+    """Read the events of a file, but for a last line cut short by a kill."""
+    for line in path.read_bytes().splitlines(keepends=True):
+        if not line.endswith(b"\n"):
+            continue
+        fields: dict[str, Any] = json.loads(line)
+        event_type = EVENT_TYPES[fields.pop("event")]
+        yield event_type(**fields)
+
+
+__all__ = [
+    "BreakReason",
+    "ColdWork",
+    "Crossed",
+    "Event",
+    "Expired",
+    "Finished",
+    "FlowBroken",
+    "FlowClosed",
+    "FlowEstablished",
+    "Misdirected",
+    "ObservationEnded",
+    "ObservationStarted",
+    "Outcome",
+    "Overloaded",
+    "PacketsReceived",
+    "RecordFile",
+    "Run",
+    "Started",
+    "WronglyServed",
+    "read_events",
+]
