--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -31,7 +31,13 @@
     read_deadline_ms,
     read_query,
 )
-from .content import SERVICE_OF_PATH, build_document, choose_size, compute_price
+from .content import (
+    BLOCK_SIZE_EXPONENT,
+    SERVICE_OF_PATH,
+    build_document,
+    choose_size,
+    compute_price,
+)
 from .events import (
     ColdWork,
     Expired,
@@ -60,7 +66,6 @@
     from aiocoap.options import Options
 
 JSON_FORMAT: Final = 50
-BLOCK_SIZE_EXPONENT: Final = 5
 REMEMBERED_REQUESTS: Final = 20_000
 EXPIRED_MAX_AGE_S: Final = 1
 PACKETS_INTERVAL_S: Final = 1.0
--- a/standins/content.py
+++ b/standins/content.py
@@ -19,6 +19,7 @@
     "guide": GUIDES,
 }
 
+BLOCK_SIZE_EXPONENT: Final = 5  # of RFC 7959: 512 bytes
 LEAST_LINES: Final = 30
 MOST_EXTRA_LINES: Final = 60
 CM_PER_INCH: Final = 2.54
@@ -49,6 +50,7 @@
 
 
 __all__ = [
+    "BLOCK_SIZE_EXPONENT",
     "COMPTOIR",
     "ETIQUETTES",
     "FITTER",
