--- a/standins/events.py
+++ b/standins/events.py
@@ -126,7 +126,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PacketsReceived:
-    """Datagrams that a backend server received within about a second."""
+    """Datagrams that a backend server received within a short interval."""
 
     time: float
     host: str
--- /dev/null
+++ b/standins/record.py
@@ -0,0 +1,376 @@
+"""Callers' and backend servers' records, compared with each other."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+from .events import (
+    BreakReason,
+    ColdWork,
+    Crossed,
+    Event,
+    Finished,
+    FlowBroken,
+    FlowEstablished,
+    Misdirected,
+    ObservationEnded,
+    ObservationStarted,
+    Outcome,
+    Overloaded,
+    PacketsReceived,
+    Run,
+    Started,
+    WronglyServed,
+    read_events,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from pathlib import Path
+
+ORDER_METHOD: Final = "POST"
+
+
+@dataclass(frozen=True, slots=True)
+class Window:
+    """A span of time.
+
+    Attributes
+    ----------
+    start : float
+        First instant.
+    end : float
+        Last instant.
+    """
+
+    start: float = 0.0
+    end: float = float("inf")
+
+    def contains(self, time: float) -> bool:
+        """Tell whether an instant lies within."""
+        return self.start <= time <= self.end
+
+
+@dataclass(frozen=True, slots=True)
+class Removal:
+    """A data centre was out.
+
+    Attributes
+    ----------
+    data_centre : str
+        Its name.
+    hosts : frozenset of str
+        The hosts in it.
+    window : Window
+        From the order that took it out to the one that took it back.
+    """
+
+    data_centre: str
+    hosts: frozenset[str]
+    window: Window
+
+
+@dataclass(frozen=True, slots=True)
+class Drain:
+    """A host was asked to leave."""
+
+    host: str
+    ordered_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """What operators did while the records were kept.
+
+    Attributes
+    ----------
+    removals : tuple of Removal
+        Data centres taken out.
+    drains : tuple of Drain
+        Hosts drained.
+    steady : Window
+        A span without any change, in which imbalance is measured.
+    """
+
+    removals: tuple[Removal, ...] = ()
+    drains: tuple[Drain, ...] = ()
+    steady: Window = Window()
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """All events, those of callers and those of backend servers."""
+
+    caller_events: list[Event]
+    backend_events: list[Event]
+
+
+@dataclass(slots=True)
+class Figures:
+    """What the records say.
+
+    Attributes
+    ----------
+    requests : int
+        Attempts that callers made.
+    answered : int
+        Attempts with the whole answer.
+    refused_not_run : int
+        Attempts answered with a refusal.
+    lost : int
+        Attempts that ended without any answer and were not repeated, and orders
+        that were answered without a run.
+    unknown : int
+        Attempts whose caller was told that they may have run.
+    failed : int
+        Attempts answered with another error.
+    retried : int
+        Attempts without an answer that were repeated.
+    doubled : int
+        Order attempts that ran more than once, or in spite of a refusal.
+    crossed : int
+        Answers that belong to another request.
+    wrong_service : int
+        Requests and answers that reached another service.
+    flows : int
+        Flows established.
+    broken_flows : int
+        Established flows that broke, for whatever cause.
+    broken_in_removal : int
+        Those of them on a host whose data centre was out.
+    broken_by_restart : int
+        Those of them on a host that restarted without notice.
+    moved : int
+        Broken flows that were answered by another host or incarnation.
+    imbalance : float
+        Peak over mean of the requests run by the hosts of a service.
+    flow_imbalance : float
+        Peak over mean of the boards held by the hosts of a service.
+    last_packet_after_removal_s : float
+        Time from an order that took a data centre out to its last datagram.
+    last_new_flow_after_drain_s : float
+        Time from an order to drain a host to its last new flow.
+    cold_peak : float
+        Most work in flight on a cold host, as a share of what it bears.
+    overloads : int
+        Times that a host fell over.
+    """
+
+    requests: int = 0
+    answered: int = 0
+    refused_not_run: int = 0
+    lost: int = 0
+    unknown: int = 0
+    failed: int = 0
+    retried: int = 0
+    doubled: int = 0
+    crossed: int = 0
+    wrong_service: int = 0
+    flows: int = 0
+    broken_flows: int = 0
+    broken_in_removal: int = 0
+    broken_by_restart: int = 0
+    moved: int = 0
+    imbalance: float = 0.0
+    flow_imbalance: float = 0.0
+    last_packet_after_removal_s: float = 0.0
+    last_new_flow_after_drain_s: float = 0.0
+    cold_peak: float = 0.0
+    overloads: int = 0
+    latencies_ms: list[float] = field(default_factory=list, repr=False)
+
+    @property
+    def broken_unexcused(self) -> int:
+        """Flows broken neither by a removal nor by a restart without notice."""
+        return self.broken_flows - self.broken_in_removal - self.broken_by_restart
+
+
+def read_record(caller_paths: Iterable[Path], backend_paths: Iterable[Path]) -> Record:
+    """Read the files of callers and backend servers."""
+    return Record(_read_all(caller_paths), _read_all(backend_paths))
+
+
+def compare(record: Record, changes: Changes) -> Figures:
+    """Compare what callers saw with what backend servers did."""
+    figures = Figures()
+    _count_attempts(record, figures)
+    _count_orders(record, figures)
+    _count_misrouting(record, figures)
+    _count_flows(record, changes, figures)
+    _measure_balance(record, changes, figures)
+    _measure_removals(record, changes, figures)
+    _measure_drains(record, changes, figures)
+    _measure_cold_starts(record, figures)
+    return figures
+
+
+def _read_all(paths: Iterable[Path]) -> list[Event]:
+    events = [event for path in paths for event in read_events(path)]
+    return sorted(events, key=lambda event: event.time)
+
+
+def _count_attempts(record: Record, figures: Figures) -> None:
+    outcomes: Counter[Outcome] = Counter()
+    for event in record.caller_events:
+        if not isinstance(event, Finished):
+            continue
+        outcomes[Outcome(event.outcome)] += 1
+        if event.outcome == Outcome.ANSWERED:
+            figures.latencies_ms.append((event.time - event.begun) * 1_000)
+    figures.requests = outcomes.total()
+    figures.answered = outcomes[Outcome.ANSWERED]
+    figures.refused_not_run = outcomes[Outcome.REFUSED]
+    figures.lost = outcomes[Outcome.LOST]
+    figures.unknown = outcomes[Outcome.UNKNOWN]
+    figures.failed = outcomes[Outcome.FAILED]
+    figures.retried = outcomes[Outcome.RETRIED]
+
+
+def _count_orders(record: Record, figures: Figures) -> None:
+    runs: Counter[tuple[str, int]] = Counter()
+    for event in record.backend_events:
+        if isinstance(event, Run) and event.method == ORDER_METHOD:
+            runs[event.request, event.attempt] += 1
+    figures.doubled = sum(1 for count in runs.values() if count > 1)
+    for finished in record.caller_events:
+        if not isinstance(finished, Finished) or finished.kind != "basket":
+            continue
+        ran = runs[finished.request, finished.attempt]
+        if finished.outcome == Outcome.REFUSED and ran == 1:
+            figures.doubled += 1
+        if finished.outcome == Outcome.ANSWERED and not ran:
+            figures.lost += 1
+
+
+def _count_misrouting(record: Record, figures: Figures) -> None:
+    for event in [*record.caller_events, *record.backend_events]:
+        match event:
+            case Crossed():
+                figures.crossed += 1
+            case WronglyServed() | Misdirected():
+                figures.wrong_service += 1
+
+
+def _count_flows(record: Record, changes: Changes, figures: Figures) -> None:
+    restarted = _find_restarted_incarnations(record)
+    for event in record.caller_events:
+        if isinstance(event, FlowEstablished):
+            figures.flows += 1
+        if not isinstance(event, FlowBroken):
+            continue
+        figures.broken_flows += 1
+        figures.moved += event.reason == BreakReason.MOVED
+        if event.incarnation in restarted:
+            figures.broken_by_restart += 1
+        elif _is_in_removal(event, changes):
+            figures.broken_in_removal += 1
+
+
+def _find_restarted_incarnations(record: Record) -> set[str]:
+    """Find the incarnations that another one followed, but not for an overload."""
+    current: dict[str, str] = {}
+    ended: set[str] = set()
+    overloaded: set[str] = set()
+    for event in record.backend_events:
+        match event:
+            case Started():
+                ended.add(current.get(event.host, ""))
+                current[event.host] = event.incarnation
+            case Overloaded():
+                overloaded.add(event.incarnation)
+    return ended - overloaded
+
+
+def _is_in_removal(event: FlowBroken, changes: Changes) -> bool:
+    for removal in changes.removals:
+        if event.host not in removal.hosts:
+            continue
+        # The flow was up when the order came and broke before the return.
+        begins_before = event.last_seen <= removal.window.end
+        if begins_before and event.time >= removal.window.start:
+            return True
+    return False
+
+
+def _measure_balance(record: Record, changes: Changes, figures: Figures) -> None:
+    services = _list_hosts_by_service(record)
+    runs: Counter[str] = Counter()
+    held: Counter[str] = Counter()
+    for event in record.backend_events:
+        match event:
+            case Run() if changes.steady.contains(event.time):
+                runs[event.host] += 1
+            case ObservationStarted() if event.time <= changes.steady.end:
+                held[event.host] += 1
+            case ObservationEnded() if event.time <= changes.steady.end:
+                held[event.host] -= 1
+    for hosts in services.values():
+        figures.imbalance = max(figures.imbalance, _compute_imbalance(runs, hosts))
+        figures.flow_imbalance = max(
+            figures.flow_imbalance, _compute_imbalance(held, hosts)
+        )
+
+
+def _list_hosts_by_service(record: Record) -> dict[tuple[str, ...], set[str]]:
+    services: dict[tuple[str, ...], set[str]] = defaultdict(set)
+    for event in record.backend_events:
+        if isinstance(event, Started):
+            services[tuple(event.services)].add(event.host)
+    return services
+
+
+def _compute_imbalance(counts: Counter[str], hosts: set[str]) -> float:
+    total = sum(counts[host] for host in hosts)
+    if not total:
+        return 0.0
+    return max(counts[host] for host in hosts) * len(hosts) / total
+
+
+def _measure_removals(record: Record, changes: Changes, figures: Figures) -> None:
+    for removal in changes.removals:
+        for event in record.backend_events:
+            if not isinstance(event, PacketsReceived):
+                continue
+            if event.host in removal.hosts and removal.window.contains(event.last):
+                after_s = event.last - removal.window.start
+                figures.last_packet_after_removal_s = max(
+                    figures.last_packet_after_removal_s, after_s
+                )
+
+
+def _measure_drains(record: Record, changes: Changes, figures: Figures) -> None:
+    for drain in changes.drains:
+        seen: set[str] = set()
+        for event in record.backend_events:
+            if not isinstance(event, Run) or event.host != drain.host:
+                continue
+            is_new = event.endpoint not in seen
+            seen.add(event.endpoint)
+            if is_new and event.time > drain.ordered_at:
+                figures.last_new_flow_after_drain_s = max(
+                    figures.last_new_flow_after_drain_s, event.time - drain.ordered_at
+                )
+
+
+def _measure_cold_starts(record: Record, figures: Figures) -> None:
+    for event in record.backend_events:
+        match event:
+            case ColdWork():
+                share = event.in_flight / event.bears
+                figures.cold_peak = max(figures.cold_peak, share)
+            case Overloaded():
+                figures.overloads += 1
+
+
+__all__ = [
+    "Changes",
+    "Drain",
+    "Figures",
+    "Record",
+    "Removal",
+    "Window",
+    "compare",
+    "read_record",
+]
