--- /dev/null
+++ b/demo/run.py
@@ -0,0 +1,193 @@
+"""Run the whole path, change it under load, and compare all records.
+
+``python -m demo.run``
+"""
+
+from __future__ import annotations
+
+import signal
+import sys
+import tempfile
+import time
+from contextlib import closing
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated
+
+from cyclopts import App, Parameter
+from rich.console import Console
+
+from standins.fleet import Fleet, OperatorError, name_backend
+from standins.processes import ProcessError
+from standins.record import Changes, Drain, Removal, Window, compare, read_record
+
+from . import plan as demo_plan
+from .probe import wait_for_services
+from .table import build_line, build_table, passes
+
+if TYPE_CHECKING:
+    from types import FrameType
+
+    from standins.record import Figures
+
+app = App(name="demo", help=__doc__)
+
+
+class Demo:
+    """The steps of the demo, in their order.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The processes.
+    console : Console
+        Where progress is shown.
+    """
+
+    def __init__(self, fleet: Fleet, console: Console) -> None:
+        self._fleet = fleet
+        self._console = console
+        self._begun = time.monotonic()
+        self._hosts = {host.name: host for host in fleet.plan.hosts}
+
+    def run(self) -> Figures:
+        """Run all steps and compare the records."""
+        self._start()
+        steady = self._keep_steady()
+        self._change_balancers()
+        drain = self._drain_host()
+        self._restart_backend()
+        removal = self._remove_data_centre()
+        self._stop_callers()
+        record = read_record(
+            self._fleet.list_caller_records(), self._fleet.list_backend_records()
+        )
+        return compare(record, Changes((removal,), (drain,), steady))
+
+    def _start(self) -> None:
+        fleet = self._fleet
+        self._tell("starting platform and fabric")
+        fleet.start_surroundings()
+        self._tell(f"starting {len(self._hosts)} hosts and 3 balancers")
+        fleet.start_daemons()
+        self._tell("applying the configuration")
+        profiles = dict.fromkeys(fleet.plan.services, demo_plan.PROFILE)
+        fleet.operate("apply", str(fleet.write_configuration(profiles)))
+        wait_for_services(fleet.service_addresses)
+        self._tell("starting callers of both deployments")
+        self._start_callers()
+        time.sleep(demo_plan.WARM_UP_S)
+
+    def _start_callers(self) -> None:
+        addresses = self._fleet.service_addresses
+        counter = addresses[demo_plan.COUNTER]
+        fitting = addresses[demo_plan.FITTING]
+        regie = [f"--comptoir={counter}", f"--etiquettes={counter}"]
+        association = [f"--fitter={fitting}", f"--guides={fitting}"]
+        self._fleet.start_callers("regie", [*regie, *demo_plan.REGIE_OPTIONS])
+        self._fleet.start_callers(
+            "association", [*association, *demo_plan.ASSOCIATION_OPTIONS]
+        )
+
+    def _keep_steady(self) -> Window:
+        self._tell("steady load")
+        start = time.time()
+        time.sleep(demo_plan.STEADY_S)
+        return Window(start, time.time())
+
+    def _change_balancers(self) -> None:
+        fleet = self._fleet
+        killed, added = demo_plan.KILLED_BALANCER, demo_plan.ADDED_BALANCER
+        self._tell(f"killing {killed}, adding {added}")
+        fleet.processes.kill(killed)
+        time.sleep(demo_plan.FABRIC_DETECTS_S)
+        fleet.disconnect_balancer(killed)
+        fleet.start_balancer(added, demo_plan.DATA_CENTRES[0])
+        fleet.wait_daemon(added)
+        fleet.connect_balancer(added)
+        time.sleep(demo_plan.BALANCERS_S)
+
+    def _drain_host(self) -> Drain:
+        host = demo_plan.DRAINED_HOST
+        self._tell(f"draining {host}")
+        ordered_at = time.time()
+        self._fleet.operate("host", "drain", host)
+        time.sleep(demo_plan.DRAIN_S)
+        return Drain(host, ordered_at)
+
+    def _restart_backend(self) -> None:
+        host = demo_plan.RESTARTED_HOST
+        self._tell(f"restarting the backend server of {host} without notice")
+        self._fleet.processes.kill(name_backend(host))
+        self._fleet.start_backend(self._hosts[host])
+        time.sleep(demo_plan.RESTART_S)
+
+    def _remove_data_centre(self) -> Removal:
+        name = demo_plan.REMOVED_DATA_CENTRE
+        self._tell(f"taking {name} out")
+        start = time.time()
+        self._fleet.operate("datacentre", "out", name)
+        time.sleep(demo_plan.OUT_S)
+        self._tell(f"taking {name} back in")
+        window = Window(start, time.time())
+        self._fleet.operate("datacentre", "in", name)
+        time.sleep(demo_plan.BACK_S)
+        return Removal(name, self._fleet.plan.list_hosts_in(name), window)
+
+    def _stop_callers(self) -> None:
+        self._tell("stopping callers")
+        for name in ("regie", "association"):
+            self._fleet.processes.terminate(name)
+        for name in ("regie", "association"):
+            status = self._fleet.processes.wait_exit(name)
+            if status:
+                raise ProcessError(f"callers {name} ended with {status}")
+
+    def _tell(self, text: str) -> None:
+        elapsed_s = time.monotonic() - self._begun
+        self._console.print(f"{elapsed_s:5.1f} s  {text}", highlight=False)
+
+
+@app.default
+def main(
+    *,
+    directory: Path | None = None,
+    seed: Annotated[int, Parameter(negative="")] = 0,
+) -> None:
+    """Run the demo, for less than a minute.
+
+    Parameters
+    ----------
+    directory : Path
+        Where settings, outputs and records are kept; without it they are removed.
+    seed : int
+        Seed of the fabric's choices.
+    """
+    signal.signal(signal.SIGTERM, _exit_on_signal)
+    if directory is not None:
+        directory.mkdir(parents=True, exist_ok=True)
+        sys.exit(_run_in(directory, seed))
+    with tempfile.TemporaryDirectory(prefix="balsamstream-demo-") as temporary:
+        sys.exit(_run_in(Path(temporary), seed))
+
+
+def _exit_on_signal(number: int, _frame: FrameType | None) -> None:
+    sys.exit(128 + number)
+
+
+def _run_in(directory: Path, seed: int) -> int:
+    console = Console()
+    with closing(Fleet(directory, demo_plan.build_plan(), seed)) as fleet:
+        try:
+            figures = Demo(fleet, console).run()
+        except (OperatorError, ProcessError) as error:
+            console.print(f"failed: {error}", highlight=False, markup=False)
+            return 1
+    console.print(build_table(figures))
+    print(build_line(figures), flush=True)
+    return 0 if passes(figures) else 1
+
+
+if __name__ == "__main__":
+    app()
+
+__all__ = ["Demo"]
--- /dev/null
+++ b/demo/table.py
@@ -0,0 +1,112 @@
+"""The demo's results, for people and as one line."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from rich.table import Table
+
+if TYPE_CHECKING:
+    from standins.record import Figures
+
+BOUND_S: Final = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One promise, what was seen of it, and whether it held."""
+
+    promise: str
+    seen: str
+    held: bool
+
+
+def build_rows(figures: Figures) -> list[Row]:
+    """Judge each promise by the figures."""
+    f = figures
+    after_removal_s = f.last_packet_after_removal_s
+    after_drain_s = f.last_new_flow_after_drain_s
+    return [
+        Row(
+            "Established flows survive planned changes",
+            f"{f.flows} flows, {f.broken_flows} broken: {f.broken_in_removal} in the "
+            f"removed data centre, {f.broken_by_restart} by the restart, "
+            f"{f.broken_unexcused} others",
+            f.broken_unexcused == 0,
+        ),
+        Row(
+            "No packet reaches another service",
+            f"{f.wrong_service} misdirected",
+            f.wrong_service == 0,
+        ),
+        Row(
+            "Cold hosts get no more than they bear",
+            f"peak {f.cold_peak:.2f} of the bearable load, {f.overloads} overloads",
+            f.overloads == 0 and f.cold_peak <= 1.0,
+        ),
+        Row(
+            "A removed data centre gets no packets",
+            f"last one {after_removal_s:.1f} s after the order",
+            after_removal_s <= BOUND_S,
+        ),
+        Row(
+            "Callers get the whole answer to their own request",
+            f"{f.answered} answered, {f.crossed} crossed, {f.lost} lost",
+            f.crossed == 0 and f.lost == 0,
+        ),
+        Row(
+            "Refused requests were not run; orders run at most once",
+            f"{f.refused_not_run} refused, {f.unknown} unknown, {f.doubled} doubled",
+            f.doubled == 0,
+        ),
+        Row(
+            "A draining host gets no new work",
+            f"last new flow {after_drain_s:.1f} s after the order",
+            after_drain_s <= BOUND_S,
+        ),
+    ]
+
+
+def build_table(figures: Figures) -> Table:
+    """Build the table of all promises."""
+    table = Table(title="What callers and backend servers recorded")
+    table.add_column("promise")
+    table.add_column("seen")
+    table.add_column("held")
+    for row in build_rows(figures):
+        table.add_row(row.promise, row.seen, "yes" if row.held else "NO")
+    return table
+
+
+def build_line(figures: Figures) -> str:
+    """Build the line of key=value figures."""
+    f = figures
+    counts = {
+        "requests": f.requests,
+        "answered": f.answered,
+        "refused_not_run": f.refused_not_run,
+        "lost": f.lost,
+        "doubled": f.doubled,
+        "crossed": f.crossed,
+        "broken_flows": f.broken_flows,
+        "wrong_service": f.wrong_service,
+        "imbalance": f"{f.imbalance:.2f}",
+        "broken_in_removal": f.broken_in_removal,
+        "broken_by_restart": f.broken_by_restart,
+        "unknown": f.unknown,
+        "failed": f.failed,
+        "retried": f.retried,
+    }
+    return " ".join(f"{key}={value}" for key, value in counts.items())
+
+
+def passes(figures: Figures) -> bool:
+    """Tell whether the demo succeeded."""
+    f = figures
+    return not (f.lost or f.doubled or f.crossed or f.wrong_service) and (
+        f.broken_unexcused == 0
+    )
+
+
+__all__ = ["Row", "build_line", "build_rows", "build_table", "passes"]
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,355 @@
+"""A whole deployment on one machine, each program a process of its own."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import urllib.request
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Final
+
+import yaml
+
+from .addresses import find_free_address
+from .processes import ROOT, Processes, build_environment
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+    from pathlib import Path
+
+PLATFORM: Final = "platform"
+FABRIC: Final = "fabric"
+KEY_ID: Final = 1
+KEY_HEX: Final = "5a" * 32
+CONTROL_TIMEOUT_S: Final = 5.0
+OPERATE_TIMEOUT_S: Final = 20.0
+
+
+@dataclass(frozen=True, slots=True)
+class HostPlan:
+    """One host: an agent beside a backend server.
+
+    Attributes
+    ----------
+    name : str
+        Name of the host.
+    service : str
+        Service that it belongs to.
+    data_centre : str
+        Where it stands.
+    """
+
+    name: str
+    service: str
+    data_centre: str
+
+
+@dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """What is to be started.
+
+    Attributes
+    ----------
+    services : mapping of str to sequence of str
+        Name of each service, and what its backend servers serve.
+    hosts : sequence of HostPlan
+        All hosts.
+    balancers : mapping of str to str
+        Name of each balancer at start, and its data centre.
+    slots : int
+        Slots of each backend server.
+    backend_options : sequence of str
+        More arguments for each backend server.
+    hints : int
+        Bound of the balancers' hint tables.
+    """
+
+    services: Mapping[str, Sequence[str]]
+    hosts: Sequence[HostPlan]
+    balancers: Mapping[str, str]
+    slots: int = 2
+    backend_options: Sequence[str] = ()
+    hints: int = 100_000
+
+    @property
+    def data_centres(self) -> list[str]:
+        """Names of all data centres."""
+        return sorted({host.data_centre for host in self.hosts})
+
+    def list_hosts_in(self, data_centre: str) -> frozenset[str]:
+        """List the hosts that stand in a data centre."""
+        return frozenset(
+            host.name for host in self.hosts if host.data_centre == data_centre
+        )
+
+
+@dataclass(slots=True)
+class DaemonPlace:
+    """Addresses of one daemon.
+
+    Attributes
+    ----------
+    address : str
+        For messages of the system's own processes.
+    status : str
+        Status page.
+    edge : str
+        Edge of a balancer.
+    """
+
+    address: str = field(default_factory=find_free_address)
+    status: str = field(default_factory=find_free_address)
+    edge: str = field(default_factory=find_free_address)
+
+
+@dataclass(slots=True)
+class BackendPlace:
+    """Addresses of one backend server, kept over its restarts."""
+
+    listen: str = field(default_factory=find_free_address)
+    control: str = field(default_factory=find_free_address)
+
+
+class OperatorError(Exception):
+    """The operator's tool failed."""
+
+
+class Fleet:
+    """Starts, changes and ends the processes of a deployment.
+
+    Parameters
+    ----------
+    directory : Path
+        Where settings, outputs and records go.
+    plan : FleetPlan
+        What is to be started.
+    seed : int
+        Seed of the fabric's choices.
+    """
+
+    def __init__(self, directory: Path, plan: FleetPlan, seed: int = 0) -> None:
+        self.directory = directory
+        self.plan = plan
+        self.processes = Processes(directory)
+        self.service_addresses = {name: find_free_address() for name in plan.services}
+        self.platform_address = find_free_address()
+        self.fabric_control = find_free_address()
+        self.daemons: dict[str, DaemonPlace] = {}
+        self.backends: dict[str, BackendPlace] = {}
+        self._statsd = find_free_address()
+        self._seed = seed
+
+    @property
+    def platform_url(self) -> str:
+        """Where the platform's object API is."""
+        return f"http://{self.platform_address}"
+
+    def start_surroundings(self) -> None:
+        """Start platform and fabric and wait for them."""
+        listen = ["--listen", self.platform_address]
+        self.processes.start(PLATFORM, ["-m", "standins.platform", *listen])
+        arguments = ["--control", self.fabric_control, "--seed", str(self._seed)]
+        for address in self.service_addresses.values():
+            arguments += ["--service", address]
+        self.processes.start(FABRIC, ["-m", "standins.fabric", *arguments])
+        self.processes.wait_ready(PLATFORM)
+        self.processes.wait_ready(FABRIC)
+
+    def start_daemons(self) -> None:
+        """Start all backend servers, agents and balancers and wait for them."""
+        for host in self.plan.hosts:
+            self.start_backend(host)
+        for host in self.plan.hosts:
+            self.processes.wait_ready(name_backend(host.name))
+            self.start_agent(host)
+        for name, data_centre in self.plan.balancers.items():
+            self.start_balancer(name, data_centre)
+        for name in self.daemons:
+            self.wait_daemon(name)
+        for name in self.plan.balancers:
+            self.connect_balancer(name)
+
+    def start_backend(self, host: HostPlan) -> None:
+        """Start the backend server of a host, on the addresses it had before."""
+        place = self.backends.setdefault(host.name, BackendPlace())
+        arguments = ["--host", host.name, "--slots", str(self.plan.slots)]
+        for served in self.plan.services[host.service]:
+            arguments += ["--service", served]
+        arguments += ["--listen", place.listen, "--control", place.control]
+        arguments += ["--record", str(self.directory / f"{host.name}.backend.jsonl")]
+        arguments += self.plan.backend_options
+        name = name_backend(host.name)
+        self.processes.start(name, ["-m", "standins.backend_server", *arguments])
+
+    def start_agent(self, host: HostPlan) -> None:
+        """Start the agent of a host, on the addresses it had before."""
+        agent = {
+            "service": host.service,
+            "slots": self.plan.slots,
+            "backend_server": self.backends[host.name].listen,
+        }
+        settings = self._build_settings(host.name, "agent", host.data_centre)
+        self._start_daemon(host.name, {**settings, "agent": agent})
+
+    def start_balancer(self, name: str, data_centre: str) -> None:
+        """Start a balancer, not yet connected to the fabric."""
+        settings = self._build_settings(name, "balancer", data_centre)
+        edge = {"listen": self.daemons[name].edge, "proxy_protocol": True}
+        balancer = {"edge": edge, "hints": self.plan.hints}
+        self._start_daemon(name, {**settings, "balancer": balancer})
+
+    def wait_daemon(self, name: str) -> None:
+        """Wait until a daemon shows its status page."""
+        url = f"http://{self.daemons[name].status}/status"
+        self.processes.wait_http(name, url)
+
+    def connect_balancer(self, name: str) -> None:
+        """Have the fabric spray over a balancer."""
+        self.control_fabric("/balancers", {"add": [self.daemons[name].edge]})
+
+    def disconnect_balancer(self, name: str) -> None:
+        """Have the fabric spray over a balancer no more."""
+        self.control_fabric("/balancers", {"remove": [self.daemons[name].edge]})
+
+    def start_callers(self, name: str, arguments: Sequence[str]) -> None:
+        """Start a process of callers and wait for it."""
+        record = ["--record", str(self.directory / f"{name}.caller.jsonl")]
+        all_arguments = ["-m", "standins.caller", *arguments, *record]
+        self.processes.start(name, all_arguments)
+        self.processes.wait_ready(name)
+
+    def control_fabric(self, path: str, body: Mapping[str, Any]) -> None:
+        """Send an order to the fabric."""
+        post_json(f"http://{self.fabric_control}{path}", body)
+
+    def control_platform(self, body: Mapping[str, Any]) -> None:
+        """Change the faults of the platform."""
+        post_json(f"{self.platform_url}/faults", body)
+
+    def control_backend(self, host: str, body: Mapping[str, Any]) -> None:
+        """Change the faults of a backend server."""
+        post_json(f"http://{self.backends[host].control}/faults", body)
+
+    def write_configuration(self, profiles: Mapping[str, Mapping[str, Any]]) -> Path:
+        """Write profiles, services and data centres as the operator applies them.
+
+        Parameters
+        ----------
+        profiles : mapping of str to mapping
+            ``spec`` of the profile of each service, under the service's name.
+
+        Returns
+        -------
+        Path
+            A YAML file.
+        """
+        documents = [_build_object("Profile", n, dict(p)) for n, p in profiles.items()]
+        for name, address in self.service_addresses.items():
+            spec = {"address": address, "profile": name, "protocol": "coap"}
+            documents.append(_build_object("Service", name, spec))
+        documents += [
+            _build_object("DataCentre", name, {"state": "in"})
+            for name in self.plan.data_centres
+        ]
+        path = self.directory / "configuration.yaml"
+        path.write_text(yaml.safe_dump_all(documents))
+        return path
+
+    def operate(self, *arguments: str) -> str:
+        """Run the operator's tool.
+
+        Returns
+        -------
+        str
+            What it wrote on standard output.
+
+        Raises
+        ------
+        OperatorError
+            If its exit status is not 0.
+        """
+        command = ["-m", "balsamstream.command.run", "--platform", self.platform_url]
+        done = subprocess.run(
+            [sys.executable, *command, *arguments],
+            check=False,
+            capture_output=True,
+            text=True,
+            env=build_environment(),
+            cwd=ROOT,
+            timeout=OPERATE_TIMEOUT_S,
+        )
+        if done.returncode:
+            words = " ".join(arguments)
+            raise OperatorError(f"{words}: exit {done.returncode}\n{done.stderr}")
+        return done.stdout
+
+    def list_backend_records(self) -> list[Path]:
+        """List the files with what the backend servers recorded."""
+        return sorted(self.directory.glob("*.backend.jsonl"))
+
+    def list_caller_records(self) -> list[Path]:
+        """List the files with what the callers recorded."""
+        return sorted(self.directory.glob("*.caller.jsonl"))
+
+    def close(self) -> None:
+        """End all processes."""
+        self.processes.close()
+
+    def _build_settings(self, name: str, role: str, data_centre: str) -> dict[str, Any]:
+        place = self.daemons.setdefault(name, DaemonPlace())
+        peers = [
+            other.address for known, other in self.daemons.items() if known != name
+        ]
+        return {
+            "role": role,
+            "name": name,
+            "data_centre": data_centre,
+            "address": place.address,
+            "keys": [{"id": KEY_ID, "secret": KEY_HEX}],
+            "platform": {"url": self.platform_url, "ca_file": None},
+            "peers": peers,
+            "metrics": {"statsd": self._statsd, "prefix": "balsamstream"},
+            "log": {"level": "info"},
+            "status_address": place.status,
+        }
+
+    def _start_daemon(self, name: str, settings: Mapping[str, Any]) -> None:
+        path = self.directory / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(dict(settings)))
+        arguments = ["-m", "balsamstream.daemon.run", "--settings", str(path)]
+        self.processes.start(name, arguments)
+
+
+def name_backend(host: str) -> str:
+    """Name the process of a host's backend server."""
+    return f"{host}.backend"
+
+
+def post_json(url: str, body: Mapping[str, Any]) -> None:
+    """Send an order to the control of a stand-in."""
+    data = json.dumps(dict(body)).encode()
+    request = urllib.request.Request(url, data, method="POST")
+    with urllib.request.urlopen(request, timeout=CONTROL_TIMEOUT_S):
+        return
+
+
+def _build_object(kind: str, name: str, spec: dict[str, Any]) -> dict[str, Any]:
+    return {
+        "apiVersion": "balsamstream/v1",
+        "kind": kind,
+        "metadata": {"name": name},
+        "spec": spec,
+    }
+
+
+__all__ = [
+    "BackendPlace",
+    "DaemonPlace",
+    "Fleet",
+    "FleetPlan",
+    "HostPlan",
+    "OperatorError",
+    "name_backend",
+    "post_json",
+]
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -104,7 +104,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=file,
                 stderr=subprocess.STDOUT,
-                env=_build_environment(),
+                env=build_environment(),
                 cwd=ROOT,
             )
         child = Child(name, process, output, offset)
@@ -194,7 +194,8 @@
                 child.process.wait()
 
 
-def _build_environment() -> dict[str, str]:
+def build_environment() -> dict[str, str]:
+    """Build the environment in which a child finds the sources."""
     return {
         **os.environ,
         "PYTHONPATH": os.pathsep.join([str(ROOT / "src"), str(ROOT)]),
@@ -226,4 +227,4 @@
         return False
 
 
-__all__ = ["Child", "ProcessError", "Processes"]
+__all__ = ["ROOT", "Child", "ProcessError", "Processes", "build_environment"]
