--- /dev/null
+++ b/src/balsamstream/platform/watch.py
@@ -0,0 +1,262 @@
+"""A watch over every object that resumes after any interruption."""
+
+from __future__ import annotations
+
+import contextlib
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Final, TypeAlias
+
+import structlog
+from returns.result import Success
+
+from .backoff import Backoff
+from .errors import Limited, PlatformError, Rejected, Unavailable
+from .objects import Listing, StoredObject, read_event, read_object
+from .transport import EndCause, StreamEnd
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import AsyncGenerator, Awaitable, Callable
+
+    from returns.result import Result
+
+    from ..config import Kind
+    from .transport import StreamItem
+
+STATUS_GONE: Final = 410
+STATUS_LIMITED: Final = 429
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Every object at one version; an object that it lacks is deleted.
+
+    Attributes
+    ----------
+    version : int
+        Version of the store.
+    objects : tuple of StoredObject
+        The objects.
+    """
+
+    version: int
+    objects: tuple[StoredObject, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """An object was created or changed.
+
+    Attributes
+    ----------
+    object : StoredObject
+        The object.
+    """
+
+    object: StoredObject
+
+
+@dataclass(frozen=True, slots=True)
+class Removed:
+    """An object was deleted.
+
+    Attributes
+    ----------
+    kind : Kind
+        Kind of the object.
+    name : str
+        Name of the object.
+    version : int
+        Version of the deletion.
+    """
+
+    kind: Kind
+    name: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Interrupted:
+    """The platform gives nothing; what was seen before stays in force.
+
+    Attributes
+    ----------
+    text : str
+        What was seen.
+    """
+
+    text: str
+
+
+WatchEvent: TypeAlias = Snapshot | Changed | Removed | Interrupted
+
+
+class Watch:
+    """Follow every object, from a list and then by a stream of events.
+
+    Versions never fall: an event or list older than what was seen is dropped.
+
+    Parameters
+    ----------
+    fetch : callable
+        Lists all objects.
+    stream : callable
+        Opens the stream of events after a version.
+    source : random.Random
+        Where jitter is drawn from.
+    sleep : callable
+        Waits for some seconds.
+    """
+
+    def __init__(
+        self,
+        fetch: Callable[[], Awaitable[Result[Listing, PlatformError]]],
+        stream: Callable[[int], AsyncGenerator[StreamItem, None]],
+        source: random.Random,
+        sleep: Callable[[float], Awaitable[None]],
+    ) -> None:
+        self._fetch = fetch
+        self._stream = stream
+        self._source = source
+        self._sleep = sleep
+        self._backoff = Backoff(first_s=0.1, longest_s=3.0)
+        self._log = structlog.get_logger("balsamstream.platform")
+        self._version = 0
+        self._failures = 0
+
+    async def follow(
+        self, version: int | None = None
+    ) -> AsyncGenerator[WatchEvent, None]:
+        """Follow the objects without end.
+
+        Parameters
+        ----------
+        version : int or None
+            Version that the caller has already seen everything up to; None to
+            begin with a snapshot.
+
+        Yields
+        ------
+        WatchEvent
+            Each change once, in the order of the versions.
+        """
+        listed = version is not None
+        self._version = version or 0
+        while True:
+            if not listed:
+                event = await self._list()
+                yield event
+                if isinstance(event, Interrupted):
+                    continue
+                listed = True
+            async with contextlib.aclosing(self._read_stream()) as events:
+                async for item in events:
+                    if item is None:
+                        listed = False
+                        continue
+                    yield item
+
+    async def _list(self) -> Snapshot | Interrupted:
+        result = await self._fetch()
+        if not isinstance(result, Success):
+            error = result.failure()
+            return await self._interrupt(_describe(error), _find_delay(error))
+        listing = result.unwrap()
+        if listing.version < self._version:
+            text = f"a list at {listing.version} is older than {self._version}"
+            return await self._interrupt(text)
+        self._failures = 0
+        self._version = listing.version
+        return Snapshot(listing.version, listing.objects)
+
+    async def _read_stream(self) -> AsyncGenerator[WatchEvent | None, None]:
+        """Read one stream; None asks for a new list."""
+        async with contextlib.aclosing(self._stream(self._version)) as items:
+            async for item in items:
+                if isinstance(item, StreamEnd):
+                    if item.cause is not EndCause.IDLE:
+                        yield await self._end_stream(item)
+                    return
+                event = self._read_line(item.data)
+                if event is None:
+                    yield None
+                    return
+                self._failures = 0
+                if not isinstance(event, _Skipped):
+                    yield event
+
+    async def _end_stream(self, end: StreamEnd) -> Interrupted | None:
+        answer = end.answer
+        if answer is None:
+            return await self._interrupt(end.text or "the watch was closed")
+        if answer.status == STATUS_GONE:
+            return None
+        delay_s = None
+        if answer.status == STATUS_LIMITED:
+            delay_s = answer.retry_after_s
+        text = f"the watch was refused with {answer.status}"
+        return await self._interrupt(text, delay_s)
+
+    def _read_line(self, data: bytes) -> WatchEvent | _Skipped | None:
+        try:
+            kind, content = read_event(data)
+        except ValueError:
+            return self._skip("not an event")
+        if kind == "ERROR":
+            return None
+        try:
+            item = read_object(content)
+        except ValueError:
+            return self._skip_object(content)
+        if item.version <= self._version:
+            return self._skip("version already seen")
+        self._version = item.version
+        if kind == "DELETED":
+            return Removed(item.kind, item.name, item.version)
+        return Changed(item)
+
+    def _skip_object(self, content: dict[str, Any]) -> _Skipped:
+        # A kind of a later release: its version counts, its content does not.
+        with contextlib.suppress(KeyError, TypeError, ValueError):
+            version = int(content["metadata"]["resourceVersion"])
+            self._version = max(self._version, version)
+        return self._skip("not a known object")
+
+    def _skip(self, reason: str) -> _Skipped:
+        self._log.debug("watch.skip", reason=reason, version=self._version)
+        return _Skipped()
+
+    async def _interrupt(self, text: str, delay_s: float | None = None) -> Interrupted:
+        self._failures += 1
+        drawn_s = self._backoff.draw_delay_s(self._failures, self._source)
+        if delay_s is not None:
+            drawn_s += delay_s
+        self._log.warning("watch.interrupt", reason=text, failures=self._failures)
+        await self._sleep(drawn_s)
+        return Interrupted(text)
+
+
+@dataclass(frozen=True, slots=True)
+class _Skipped:
+    """A line that says nothing new."""
+
+
+def _describe(error: PlatformError) -> str:
+    match error:
+        case Unavailable(_, text):
+            return text or "the platform is unavailable"
+        case Limited(retry_after_s):
+            return f"the platform limits calls for {retry_after_s:g} s"
+        case Rejected(status, text):
+            return f"the platform refused with {status}: {text}"
+        case _:
+            return type(error).__name__
+
+
+def _find_delay(error: PlatformError) -> float | None:
+    if isinstance(error, Limited):
+        return error.retry_after_s
+    return None
+
+
+__all__ = ["Changed", "Interrupted", "Removed", "Snapshot", "Watch", "WatchEvent"]
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the client of the platform."""
--- /dev/null
+++ b/tests/platform/test_watch.py
@@ -0,0 +1,173 @@
+"""Watches resume after every interruption and never lower a version."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from typing import TYPE_CHECKING, Any
+
+from returns.result import Failure, Result, Success
+
+from balsamstream.config import Kind
+from balsamstream.platform import (
+    Changed,
+    Interrupted,
+    Limited,
+    Listing,
+    PlatformError,
+    Removed,
+    Snapshot,
+    Unavailable,
+    WatchEvent,
+)
+from balsamstream.platform.transport import (
+    Answer,
+    EndCause,
+    Line,
+    StreamEnd,
+    StreamItem,
+)
+from balsamstream.platform.watch import Watch
+from tests.platform.bench import open_client, open_platform, set_faults
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator, AsyncIterator
+
+
+def line(version: int, change: str = "MODIFIED", kind: str = "View") -> Line:
+    metadata = {"name": "comptoir", "resourceVersion": str(version)}
+    item: dict[str, Any] = {"kind": kind, "metadata": metadata, "spec": {}}
+    return Line(json.dumps({"type": change, "object": item}).encode())
+
+
+class Script:
+    """Lists and streams that were written down, in order."""
+
+    def __init__(
+        self,
+        lists: list[Result[Listing, PlatformError]],
+        streams: list[list[StreamItem]],
+    ) -> None:
+        self.lists = lists
+        self.streams = streams
+        self.asked: list[int] = []
+        self.waits_s: list[float] = []
+
+    async def fetch(self) -> Result[Listing, PlatformError]:
+        """Give the next list."""
+        return self.lists.pop(0)
+
+    async def stream(self, version: int) -> AsyncGenerator[StreamItem, None]:
+        """Open the next stream."""
+        self.asked.append(version)
+        for item in self.streams.pop(0):
+            yield item
+
+    async def sleep(self, delay_s: float) -> None:
+        """Note the wait."""
+        self.waits_s.append(delay_s)
+
+    def follow(self, count: int, version: int | None = None) -> list[WatchEvent]:
+        """Take so many events of a watch over this script."""
+
+        async def run() -> list[WatchEvent]:
+            watch = Watch(self.fetch, self.stream, random.Random(7), self.sleep)
+            return await take(watch.follow(version), count)
+
+        return asyncio.run(run())
+
+
+async def take(events: AsyncIterator[WatchEvent], count: int) -> list[WatchEvent]:
+    taken: list[WatchEvent] = []
+    async for event in events:
+        taken.append(event)
+        if len(taken) == count:
+            break
+    return taken
+
+
+def versions(events: list[WatchEvent]) -> list[int]:
+    found: list[int] = []
+    for event in events:
+        match event:
+            case Changed(item):
+                found.append(item.version)
+            case Snapshot(version) | Removed(_, _, version):
+                found.append(version)
+            case Interrupted():
+                continue
+    return found
+
+
+def test_resumes_after_the_last_version_seen() -> None:
+    lost = StreamEnd(EndCause.LOST, text="reset")
+    script = Script(
+        [Success(Listing(5, ()))],
+        [[line(6), lost], [StreamEnd(EndCause.IDLE)], [line(7, "DELETED")]],
+    )
+    events = script.follow(4)
+    assert versions(events) == [5, 6, 7]
+    assert events[2] == Interrupted("reset")
+    assert events[3] == Removed(Kind.VIEW, "comptoir", 7)
+    assert script.asked == [5, 6, 6]
+
+
+def test_lists_anew_when_events_are_gone() -> None:
+    gone = StreamEnd(EndCause.REFUSED, Answer(410))
+    error = Line(b'{"type": "ERROR", "object": {"code": 410}}')
+    script = Script(
+        [Success(Listing(9, ())), Success(Listing(12, ()))], [[gone], [error]]
+    )
+    assert versions(script.follow(2, version=3)) == [9, 12]
+    assert script.waits_s == []
+
+
+def test_never_lowers_a_version() -> None:
+    gone = StreamEnd(EndCause.REFUSED, Answer(410))
+    script = Script(
+        [Success(Listing(4, ())), Success(Listing(9, ()))],
+        [[line(8), line(7), line(8), gone], [line(10)]],
+    )
+    events = script.follow(4, version=6)
+    assert versions(events) == [8, 9, 10]
+    assert isinstance(events[1], Interrupted)
+
+
+def test_passes_over_what_it_does_not_know() -> None:
+    script = Script([], [[Line(b"nonsense"), line(7, kind="Novelty"), line(8)], []])
+    assert versions(script.follow(1, version=6)) == [8]
+
+
+def test_waits_longer_while_the_platform_is_down() -> None:
+    down: Result[Listing, PlatformError] = Failure(Unavailable(False, "down"))
+    limited: Result[Listing, PlatformError] = Failure(Limited(30.0))
+    script = Script([down] * 40 + [limited], [])
+    events = script.follow(41)
+    assert events[0] == Interrupted("down")
+    assert max(script.waits_s[:3]) <= 0.4
+    assert max(script.waits_s[:40]) <= 3.0 < 30.0 <= script.waits_s[40]
+
+
+def test_follows_a_platform_through_an_outage() -> None:
+    async def run() -> None:
+        async with open_platform() as (_, url), open_client(url) as client:
+            await client.create(Kind.PROFILE, "counter", {})
+            events = client.watch_all()
+            assert versions(await take_next(events, 1)) == [1]
+            await client.create(Kind.VIEW, "comptoir", {"x": "y" * 900_000})
+            assert versions(await take_next(events, 1)) == [2]
+            await set_faults(url, down=True)
+            assert isinstance((await take_next(events, 1))[0], Interrupted)
+            await set_faults(url, down=False, compact=True)
+            await client.create(Kind.PROFILE, "fast", {})
+            while not versions(seen := await take_next(events, 1)):
+                continue
+            assert versions(seen) == [3]
+            await events.aclose()
+
+    asyncio.run(run())
+
+
+async def take_next(events: AsyncIterator[WatchEvent], count: int) -> list[WatchEvent]:
+    return [await anext(events) for _ in range(count)]
