Validate the daemon's settings at the border

Cause: a daemon that starts with wrong settings must say file, line and field, and must show no part of a key. A trial showed pydantic's findings to carry their input, so a key written in the wrong form was printed; findings under keys now go without.

--- a/src/balsamstream/config/problem.py
+++ b/src/balsamstream/config/problem.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from pydantic import ValidationError
 
+_WITHOUT_INPUT: Final = frozenset({"missing", "extra_forbidden", "value_error"})
+
 
 @dataclass(frozen=True, slots=True)
 class Problem:
@@ -41,7 +43,7 @@
 
 
 def collect_problems(
-    error: ValidationError, prefix: Sequence[str] = ()
+    error: ValidationError, prefix: Sequence[str] = (), *, hidden: str | None = None
 ) -> list[Problem]:
     """Turn the findings of a model into problems without a place.
 
@@ -51,6 +53,8 @@
         What pydantic raised.
     prefix : sequence of str
         Path of the model within the whole document.
+    hidden : str or None
+        Top field whose content is never shown, since it holds secrets.
 
     Returns
     -------
@@ -61,15 +65,13 @@
     for finding in error.errors(include_url=False):
         path = [*prefix, *(str(part) for part in finding["loc"])]
         text = _word_finding(finding["type"], finding["msg"])
-        if "input" in finding and finding["type"] not in _WITHOUT_INPUT:
+        shown = finding["type"] not in _WITHOUT_INPUT and path[:1] != [hidden]
+        if shown and "input" in finding:
             text = f"{text}, got {finding['input']!r:.60}"
         problems.append(Problem("", 0, ".".join(path), text))
     return problems
 
 
-_WITHOUT_INPUT = frozenset({"missing", "extra_forbidden", "value_error"})
-
-
 def _word_finding(kind: str, message: str) -> str:
     match kind:
         case "extra_forbidden":
