Start cold when a data centre returns

Cause: hosts kept their old share over an outage that operators declared, so a whole data centre came back at full limits. The test failed first (share 1.0), passes now. Ruled out: a ramp at the balancers, who do not know what a host bears.

--- a/src/balsamstream/core/agent.py
+++ b/src/balsamstream/core/agent.py
@@ -372,8 +372,12 @@
         if not taken:
             return actions
         self._take_profile(now)
+        was_out = state.is_out
         if not state.update_routing():
             return actions
+        if was_out and not state.is_out and state.admission is not None:
+            # All hosts of a returning data centre begin at once, and none is warm.
+            state.admission.restart()
         view = state.routing.view
         self.voter.adopt(view, now)
         actions += self.single_run.adopt_view(now)
--- a/tests/core/test_path.py
+++ b/tests/core/test_path.py
@@ -66,3 +66,15 @@
         network.send_request("balancer-2", "comptoir", caller, number + 100)
     network.pass_time(1.0)
     assert {run.flow: run.host for run in network.runs} == before
+
+
+def test_host_starts_cold_when_its_data_centre_returns() -> None:
+    network = build_network()
+    admission = network.agents["comptoir-0"].state.admission
+    assert admission is not None
+    admission.share = 1.0
+    network.platform.put("DataCentre", "medina", {"state": "out"})
+    network.pass_time(3.0)
+    network.platform.put("DataCentre", "medina", {"state": "in"})
+    network.pass_time(3.0)
+    assert admission.share == admission.profile.cold_start.initial_share
