Hand a host's flows from an old agent process to its successor

Cause: replacing an agent is a planned change, and its per-flow sockets ended with it. Ruled out: passing descriptors (processes talk over TCP or UDP by IP number) and two processes on one port (the kernel would split each flow's datagrams).

--- a/src/balsamstream/core/admission.py
+++ b/src/balsamstream/core/admission.py
@@ -162,6 +162,10 @@
         self.health = Health.SOUND
         self.latency_s = 0.0
 
+    def raise_share(self, share: float) -> None:
+        """Take over what another agent process learned of this backend server."""
+        self.share = max(self.share, min(1.0, share))
+
     def tick(self, now: float) -> None:
         """Raise the limits where the last interval's answers allow it."""
         elapsed = max(0.0, now - self._ticked)
--- a/src/balsamstream/core/agent.py
+++ b/src/balsamstream/core/agent.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from ..config.objects import WorkClass
@@ -33,10 +34,13 @@
     SealAsk,
     SealReply,
     Send,
+    TakeoverAsk,
+    TakeoverPart,
 )
 from .ownership import Ownership, Place
 from .single_run import SingleRun
 from .state import AgentConfig, AgentState
+from .takeover import Retirement, Succession
 from .verdict import MayHaveRun
 
 if TYPE_CHECKING:
@@ -74,16 +78,19 @@
         self.ownership = Ownership(self.state)
         self.single_run = SingleRun(self.state)
         self.membership = Membership(self.state)
+        self.succession = Succession(self.state)
+        self.retirement = Retirement(self.state)
         self.voter = VoterRole(config.service, config.ref)
         self.follower = Follower(self.state.catalogue, config.peers, random)
         self._waiting: dict[tuple[FlowKey, RequestKey], Packet] = {}
         self._next_load_report = 0.0
         self._backend_down_until = 0.0
+        self._is_replaced = False
 
     @property
     def drained(self) -> bool:
         """Whether the host has finished its work and left the view."""
-        return self.membership.drained
+        return self.membership.drained or self._is_replaced
 
     def receive(self, sender: Address, message: Message, now: float) -> list[Action]:
         """Take a message of another process."""
@@ -112,6 +119,10 @@
             case LoadReport():
                 self.state.loads.take(message, now)
                 return []
+            case TakeoverAsk():
+                return self.retirement.answer(sender, message, self._list_busy(), now)
+            case TakeoverPart():
+                return self.succession.take_part(message, now)
             case Ping():
                 self.follower.note_source(sender, now)
                 return [Send(sender, Pong(message.number, self.state.config.ref))]
@@ -175,7 +186,9 @@
         """Do what is due by time."""
         state = self.state
         actions: list[Action] = list(self.follower.tick(now))
+        actions += self.succession.tick(now)
         actions += self.membership.tick(now)
+        self._is_replaced = self.retirement.is_done(now) and not self.voter.is_needed
         actions += self.single_run.tick(now)
         placements, asked = self.ownership.tick(now)
         actions += self._carry_out(placements, now) + asked
@@ -204,6 +217,13 @@
             actions += self.follower.ask_at_once(sender, now)
         if packet.flow in state.flows and not state.is_out:
             return actions + self._run(packet, now)
+        if self.retirement.successor is not None and packet.hops < MOST_HOPS:
+            return actions + self.retirement.pass_on(packet)
+        predecessor = self.succession.predecessor
+        first_hop = sender != predecessor and packet.hops < MOST_HOPS
+        if predecessor is not None and first_hop:
+            passed = replace(packet, hops=packet.hops + 1)
+            return [*actions, Send(predecessor, passed)]
         if packet.hops >= MOST_HOPS:
             return actions + self._refuse(packet, "too many hops", now)
         return actions + self._carry_out(self.ownership.place(packet, now), now)
@@ -247,6 +267,12 @@
         state.admission.start_request(packet.flow, packet.request, now)
         return [self._deliver(packet)]
 
+    def _list_busy(self) -> set[FlowKey]:
+        admission = self.state.admission
+        if admission is None:
+            return set()
+        return {flow for flow, _ in admission.list_requests()}
+
     def _deliver(self, packet: Packet) -> Deliver:
         return Deliver(
             packet.flow,
@@ -379,6 +405,7 @@
             # All hosts of a returning data centre begin at once, and none is warm.
             state.admission.restart()
         view = state.routing.view
+        self.succession.find_predecessor(now)
         self.voter.adopt(view, now)
         actions += self.single_run.adopt_view(now)
         actions += self.ownership.start_sync(now)
--- a/src/balsamstream/core/claim.py
+++ b/src/balsamstream/core/claim.py
@@ -76,6 +76,11 @@
         """Whether the newest set gives this incarnation a vote."""
         return bool(self._sets) and self._is_listed(self._sets[-1])
 
+    @property
+    def is_needed(self) -> bool:
+        """Whether a later set may still ask this voter for its claims."""
+        return any(self._is_listed(voter_set) for voter_set in self._sets)
+
     def adopt(self, view: View, now: float) -> None:
         """Take over the voter sets of a later view; an earlier one changes nothing."""
         if view.number <= self._view_number:
--- a/src/balsamstream/core/membership.py
+++ b/src/balsamstream/core/membership.py
@@ -27,6 +27,7 @@
         self._pause_s = EDIT_REPEAT_LEAST_S
         self._draining_since: float | None = None
         self._leave_since: float | None = None
+        self._was_listed = False
         self.drained = False
 
     def drain(self, now: float) -> None:
@@ -68,6 +69,13 @@
         if self._state.admission is None:
             # Without a profile there is no limit to admit by.
             return None
+        if listed is not None and listed.ref == config.ref:
+            self._was_listed = True
+        elif listed is not None and self._was_listed:
+            # A later run of this host's agent announced itself: joining again would
+            # have the two replace each other for ever.
+            self._state.leaving = True
+            return None
         if listed is None or listed.ref != config.ref:
             return Join(
                 Member(config.ref, config.address, config.data_centre, config.slots)
--- a/src/balsamstream/core/message.py
+++ b/src/balsamstream/core/message.py
@@ -196,6 +196,56 @@
     ref: ProcessRef
 
 
+@dataclass(frozen=True, slots=True)
+class TakeoverAsk:
+    """A new agent of a host asks the one it replaces for its flows.
+
+    Parameters
+    ----------
+    successor : ProcessRef
+        The new agent; its name is the old one's too.
+    after : int
+        All flows up to this key have been taken over; -1 begins a pass.
+    """
+
+    service: str
+    successor: ProcessRef
+    after: int
+
+
+@dataclass(frozen=True, slots=True)
+class HeldFlow:
+    """What a new agent needs to go on with a flow."""
+
+    flow: FlowKey
+    caller: Address
+    via: Address
+
+
+@dataclass(frozen=True, slots=True)
+class TakeoverPart:
+    """Flows that the old agent has closed and the new one goes on with.
+
+    Parameters
+    ----------
+    after : int
+        Key that the asker named.
+    left : int
+        Flows that the old agent still holds, busy ones included.
+    share : float
+        Share of the full limits that the host bears, from 0 to 1.
+    flows : tuple of HeldFlow
+        In rising order of their keys.
+    """
+
+    service: str
+    predecessor: ProcessRef
+    after: int
+    left: int
+    share: float
+    flows: tuple[HeldFlow, ...]
+
+
 # --- claims ------------------------------------------------------------------------
 
 
@@ -321,6 +371,8 @@
     | HolderAsk
     | HolderReply
     | LoadReport
+    | TakeoverAsk
+    | TakeoverPart
     | Ping
     | Pong
     | ClaimAsk
@@ -433,6 +485,7 @@
     "Count",
     "Deliver",
     "EditView",
+    "HeldFlow",
     "HolderAsk",
     "HolderReply",
     "LoadReport",
@@ -450,4 +503,6 @@
     "SealAsk",
     "SealReply",
     "Send",
+    "TakeoverAsk",
+    "TakeoverPart",
 ]
--- a/tests/core/network.py
+++ b/tests/core/network.py
@@ -130,14 +130,19 @@
         self.platform.put("Service", service, spec)
 
     def add_agent(
-        self, name: str, service: str, data_centre: str = "medina", slots: int = 2
+        self,
+        name: str,
+        service: str,
+        data_centre: str = "medina",
+        slots: int = 2,
+        port_offset: int = 0,
     ) -> AgentDecisions:
         """Start an agent, or start it again in a new incarnation."""
         self._incarnation += 1
         port = 7000 + sum(name.encode()) * 7 % 1000
         while any(agent.port == port for agent in self._taken(name)):
             port += 1
-        address = Address("127.0.0.1", port)
+        address = Address("127.0.0.1", port + port_offset)
         balancers = tuple(known.config.address for known in self.balancers.values())
         ref = ProcessRef(name, self._incarnation)
         config = AgentConfig(ref, address, service, data_centre, slots, balancers)
--- /dev/null
+++ b/tests/core/test_takeover.py
@@ -0,0 +1,45 @@
+"""A new agent process goes on with the flows of the old one."""
+
+from __future__ import annotations
+
+from balsamstream.core.identity import Address
+from balsamstream.core.message import RequestKind
+from tests.core.test_path import build_network
+
+
+def test_flows_stay_on_their_host_when_its_agent_is_replaced() -> None:
+    network = build_network()
+    callers = [Address("127.0.0.1", 42000 + number) for number in range(100)]
+    for number, caller in enumerate(callers):
+        network.send_request("balancer-1", "comptoir", caller, number + 1)
+    network.pass_time(1.0)
+    before = {run.flow: run.host.name for run in network.runs}
+    old = network.agents["comptoir-1"]
+    new = network.add_agent("comptoir-1", "comptoir", port_offset=500)
+    network.pass_time(6.0)
+    assert old.drained
+    assert new.succession.is_settled
+    network.runs.clear()
+    for number, caller in enumerate(callers):
+        kind = RequestKind.NON_REPEATABLE
+        network.send_request("balancer-2", "comptoir", caller, number + 500, kind)
+        network.settle()
+    assert {run.flow: run.host.name for run in network.runs} == before
+    assert {run.host for run in network.runs} >= {new.state.config.ref}
+
+
+def test_old_agent_does_not_join_again_over_its_successor() -> None:
+    network = build_network()
+    old = network.agents["comptoir-1"]
+    new = network.add_agent("comptoir-1", "comptoir", port_offset=500)
+    network.is_cut = lambda sender, to: (
+        {sender, to} == {old.state.config.address, new.state.config.address}
+    )
+    network.pass_time(8.0)
+    view = network.balancers["balancer-1"].catalogue.find_view("comptoir")
+    assert view is not None
+    number = view.number
+    network.pass_time(8.0)
+    later = network.balancers["balancer-1"].catalogue.find_view("comptoir")
+    assert later is not None
+    assert later.number == number
