--- a/demo/probe.py
+++ b/demo/probe.py
@@ -12,7 +12,7 @@
 from standins.addresses import parse_address
 from standins.exchange import CallerSocket, Timing
 from standins.processes import ProcessError
-from standins.routines import is_success
+from standins.routine import is_success
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import random
 import secrets
 import time
@@ -22,6 +21,14 @@
 from cyclopts import App, Parameter
 
 from .addresses import LOOPBACK, Address, format_address, parse_address
+from .answers import (
+    JSON_FORMAT,
+    Place,
+    build_content,
+    describe,
+    find_service,
+    identify_request,
+)
 from .capacity import Capacity, Limits
 from .coap import (
     MessageIds,
@@ -31,13 +38,7 @@
     read_deadline_ms,
     read_query,
 )
-from .content import (
-    BLOCK_SIZE_EXPONENT,
-    SERVICE_OF_PATH,
-    build_document,
-    choose_size,
-    compute_price,
-)
+from .content import COMPTOIR
 from .events import (
     ColdWork,
     Expired,
@@ -63,16 +64,13 @@
 if TYPE_CHECKING:
     import socket
 
-    from aiocoap.options import Options
 
-JSON_FORMAT: Final = 50
+BOARD_PATH: Final = "stock"
 REMEMBERED_REQUESTS: Final = 20_000
 EXPIRED_MAX_AGE_S: Final = 1
 PACKETS_INTERVAL_S: Final = 0.25
 STOP_GRACE_S: Final = 2.0
 STOP_POLL_S: Final = 0.02
-REGISTER: Final = 0
-DEREGISTER: Final = 1
 
 app = App(name="backend_server", help=__doc__)
 
@@ -214,6 +212,10 @@
         aged = [h for h in self._history if h.time <= now - self.faults.health_lag_s]
         return aged[-1] if aged else self._history[0]
 
+    @property
+    def _place(self) -> Place:
+        return Place(self._host, self._incarnation)
+
     def _record_start(self, announced: bool) -> None:
         now = time.time()
         cold_until = now + self._capacity.limits.cold_s
@@ -273,8 +275,8 @@
         self._answers[key] = None
         if len(self._answers) > REMEMBERED_REQUESTS:
             self._answers.popitem(last=False)
-        path = message.opt.uri_path[0] if message.opt.uri_path else ""
-        if SERVICE_OF_PATH.get(path) not in self._services:
+        if find_service(message) not in self._services:
+            path = "/".join(message.opt.uri_path)
             self._record.append(Misdirected(time.time(), self._host, path))
             self._answer(message, endpoint, build_answer(message, codes.NOT_FOUND))
             return
@@ -343,7 +345,7 @@
                 time=time.time(),
                 host=self._host,
                 incarnation=self._incarnation,
-                service=SERVICE_OF_PATH[work.message.opt.uri_path[0]],
+                service=str(find_service(work.message)),
                 method=work.message.code.name,
                 request=request,
                 attempt=attempt,
@@ -362,29 +364,17 @@
 
     def _build_content(self, work: Work) -> Message:
         message = work.message
-        query = read_query(message.opt)
-        match (message.code, *message.opt.uri_path):
-            case (codes.GET, "stock"):
-                return self._answer_board(work, query)
-            case (codes.POST, "basket"):
-                return self._answer_order(message)
-            case (codes.GET, "sheet" | "guide" as path, identifier):
-                return build_block(message, build_document(path, identifier))
-            case (codes.GET, "fit"):
-                size = choose_size(int(query["height"]), int(query["inseam"]))
-                return self._build_json(message, id=query.get("id"), size=size)
-            case (codes.GET, "chart"):
-                return self._build_json(message, id=query.get("id"), chart="40-180 cm")
-            case _:
-                return build_answer(message, codes.METHOD_NOT_ALLOWED)
-
-    def _answer_board(self, work: Work, query: dict[str, str]) -> Message:
+        answer = build_content(message, self._place)
+        if message.opt.uri_path[0] == BOARD_PATH and message.code == codes.GET:
+            self._change_observation(work, answer)
+        return answer
+
+    def _change_observation(self, work: Work, answer: Message) -> None:
         message, endpoint = work.message, work.endpoint
-        board = query.get("board", "")
-        answer = self._build_json(message, board=board)
         known = self._observers.find(endpoint, message.token)
         match message.opt.observe:
             case 0:
+                board = read_query(message.opt).get("board", "")
                 observer = known or Observer(endpoint, message.token, board)
                 observer.advance()
                 answer.opt.observe = observer.sequence
@@ -392,34 +382,6 @@
                     self._add_observer(observer)
             case 1 if known is not None:
                 self._end_observation(known, "deregistered")
-        return answer
-
-    def _answer_order(self, message: Message) -> Message:
-        try:
-            order = json.loads(message.payload)
-            identifier, attempt = order["id"], order.get("attempt", 1)
-        except (ValueError, KeyError, TypeError):
-            return build_answer(message, codes.BAD_REQUEST)
-        answer = self._build_json(
-            message, id=identifier, attempt=attempt, price=compute_price(identifier)
-        )
-        answer.code = codes.CHANGED
-        return answer
-
-    def _build_json(self, request: Message, **fields: str | int | None) -> Message:
-        service = SERVICE_OF_PATH[request.opt.uri_path[0]]
-        payload = self._describe(service, **fields)
-        answer = build_answer(request, codes.CONTENT, payload)
-        answer.opt.content_format = JSON_FORMAT
-        return answer
-
-    def _describe(self, service: str, **fields: str | int | None) -> bytes:
-        common = {
-            "service": service,
-            "host": self._host,
-            "incarnation": self._incarnation,
-        }
-        return json.dumps({**common, **fields}).encode()
 
     def _answer(self, request: Message, endpoint: Address, answer: Message) -> None:
         encoded = answer.encode()
@@ -479,7 +441,7 @@
         observer.message_ids.append(message_id)
         notification = Message(
             code=codes.CONTENT,
-            payload=self._describe("comptoir", board=observer.board),
+            payload=describe(COMPTOIR, self._place, board=observer.board),
             _mtype=Type.CON if confirm else Type.NON,
             _mid=message_id,
             _token=observer.token,
@@ -501,40 +463,6 @@
             self._packets = 0
 
 
-def identify_request(message: Message) -> tuple[str, int]:
-    """Find the caller's own name of a request, and the number of the attempt."""
-    if message.payload:
-        try:
-            order = json.loads(message.payload)
-            return str(order["id"]), int(order.get("attempt", 1))
-        except (ValueError, KeyError, TypeError, AttributeError):
-            return "", 1
-    options: Options = message.opt
-    query = read_query(options)
-    request = query.get("id", "")
-    if options.block2 is not None and options.block2.block_number:
-        request = f"{request}#{options.block2.block_number}"
-    return request, int(query.get("attempt", "1"))
-
-
-def build_block(request: Message, document: bytes) -> Message:
-    """Build the answer with the block that a request asks for."""
-    wanted = request.opt.block2
-    exponent = BLOCK_SIZE_EXPONENT
-    number = 0
-    if wanted is not None:
-        exponent = min(exponent, wanted.size_exponent)
-        number = wanted.start // (1 << (exponent + 4))
-    size = 1 << (exponent + 4)
-    block = document[number * size : (number + 1) * size]
-    if not block:
-        return build_answer(request, codes.BAD_OPTION)
-    answer = build_answer(request, codes.CONTENT, block)
-    answer.opt.block2 = (number, (number + 1) * size < len(document), exponent)
-    answer.opt.size2 = len(document)
-    return answer
-
-
 class Control:
     """The health page and the control of faults."""
 
@@ -625,6 +553,4 @@
     "Faults",
     "Health",
     "Work",
-    "build_block",
-    "identify_request",
 ]
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -13,9 +13,13 @@
 from cyclopts import App, Parameter
 
 from .addresses import parse_address
+from .boards import Board
+from .downloads import Guide, Sheet
 from .events import RecordFile
 from .exchange import Timing
-from .routines import Basket, Board, Fitting, Guide, Pace, Routine, Sheet
+from .fittings import Fitting
+from .orders import Basket
+from .routine import Pace, Routine
 from .serving import print_ready, wait_for_stop
 
 SEED_STRIDE: Final = 100_003
--- a/standins/coap.py
+++ b/standins/coap.py
@@ -28,7 +28,8 @@
 
 def build_empty(message_type: Type, message_id: int) -> bytes:
     """Build an empty acknowledgement or reset."""
-    return Message(code=EMPTY, _mtype=message_type, _mid=message_id).encode()
+    message = Message(code=EMPTY, _mtype=message_type, _mid=message_id)
+    return bytes(message.encode())
 
 
 def build_answer(request: Message, code: Code, payload: bytes = b"") -> Message:
--- /dev/null
+++ b/standins/orders.py
@@ -0,0 +1,71 @@
+"""Callers that send basket orders."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from aiocoap import Message
+from aiocoap.numbers import codes
+
+from .content import compute_price
+from .events import Outcome
+from .exchange import Answer, Reply, Silence
+from .routine import (
+    Attempt,
+    Routine,
+    classify_failure,
+    is_refusal,
+    parse_json,
+    read_max_age_s,
+)
+
+
+class Basket(Routine):
+    """A shop tablet that sends basket orders, none of which may run twice."""
+
+    kind = "basket"
+
+    async def make_request(self) -> None:
+        """Order; a refused attempt is followed by another one of the same order."""
+        order = self.name_request()
+        number = 0
+        while True:
+            number += 1
+            attempt = self.begin(order, number)
+            reply = await self.socket.request(self._build(order, number))
+            max_age_s = self._settle(attempt, reply)
+            if max_age_s is None or self.stopping.is_set():
+                return
+            await self.pause(max_age_s)
+
+    def _settle(self, attempt: Attempt, reply: Reply) -> int | None:
+        match reply:
+            case Silence(transmissions):
+                self.finish(attempt, Outcome.LOST, "silence", transmissions)
+            case Answer(message, transmissions) if is_refusal(message):
+                self.finish(attempt, Outcome.REFUSED, str(message.code), transmissions)
+                return read_max_age_s(message)
+            case Answer(message, transmissions) if message.code.is_successful():
+                self._check(attempt, parse_json(message))
+                self.finish(attempt, Outcome.ANSWERED, str(message.code), transmissions)
+            case Answer(message, transmissions):
+                outcome = classify_failure(message)
+                self.finish(attempt, outcome, str(message.code), transmissions)
+        return None
+
+    def _check(self, attempt: Attempt, body: dict[str, Any]) -> None:
+        attempt.host = str(body.get("host"))
+        expected = (attempt.request, attempt.number, compute_price(attempt.request))
+        got = (body.get("id"), body.get("attempt"), body.get("price"))
+        self.check_answer(attempt.request, expected, got)
+        self.check_service(attempt.request, "basket", body.get("service"))
+
+    def _build(self, order: str, number: int) -> Message:
+        body = {"id": order, "attempt": number, "weight_g": 50 + number}
+        return Message(
+            code=codes.POST, uri_path=("basket",), payload=json.dumps(body).encode()
+        )
+
+
+__all__ = ["Basket"]
--- /dev/null
+++ b/standins/routine.py
@@ -0,0 +1,332 @@
+"""What all simulated callers share."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Final
+
+from aiocoap.numbers import codes
+
+from .answers import Place
+from .content import SERVICE_OF_PATH
+from .events import (
+    BreakReason,
+    Crossed,
+    Finished,
+    FlowBroken,
+    FlowClosed,
+    FlowEstablished,
+    Outcome,
+    WronglyServed,
+)
+from .exchange import Answer, CallerSocket, Reply, Silence, Timing
+
+if TYPE_CHECKING:
+    from aiocoap import Message
+
+    from .addresses import Address
+    from .events import RecordFile
+
+DEFAULT_MAX_AGE_S: Final = 60
+MOST_ATTEMPTS: Final = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """How a caller takes its time.
+
+    Attributes
+    ----------
+    interval_s : float
+        Mean pause between two requests.
+    silence_s : float
+        Time without notification after which a board counts as broken.
+    """
+
+    interval_s: float = 1.0
+    silence_s: float = 5.0
+
+
+@dataclass(slots=True)
+class Attempt:
+    """An attempt in progress."""
+
+    kind: str
+    request: str
+    number: int
+    begun: float = field(default_factory=time.time)
+    host: str = ""
+
+
+class Routine:
+    """What one caller does until it is told to stop.
+
+    Parameters
+    ----------
+    caller : str
+        Name of the caller.
+    service : Address
+        Virtual address of its service.
+    timing : Timing
+        Transmission parameters.
+    pace : Pace
+        Pauses and patience.
+    record : RecordFile
+        Where it records what it saw.
+    seed : int
+        Seed of its random choices.
+    """
+
+    kind = ""
+
+    def __init__(
+        self,
+        caller: str,
+        service: Address,
+        timing: Timing,
+        pace: Pace,
+        record: RecordFile,
+        seed: int,
+    ) -> None:
+        self.caller = caller
+        self.pace = pace
+        self.record = record
+        self.random = random.Random(seed)
+        self.stopping = asyncio.Event()
+        self._service = service
+        self._timing = timing
+        self._requests = 0
+        self._open: dict[int, Attempt] = {}
+        self.socket = self._build_socket()
+
+    async def start(self) -> None:
+        """Open the socket."""
+        await self.socket.start()
+
+    def close(self) -> None:
+        """Record what has not ended as lost, and close the socket."""
+        for attempt in list(self._open.values()):
+            self.finish(attempt, Outcome.LOST, "stopped", 0)
+        self.socket.close()
+
+    async def run(self) -> None:
+        """Make requests until told to stop."""
+        await self.pause(self.random.random() * self.pace.interval_s)
+        while not self.stopping.is_set():
+            await self.make_request()
+            await self.pause(self.random.uniform(0.5, 1.5) * self.pace.interval_s)
+
+    async def make_request(self) -> None:
+        """Make one request, with all the attempts it takes."""
+        raise NotImplementedError
+
+    async def pause(self, duration_s: float) -> None:
+        """Wait, but not beyond the order to stop."""
+        try:
+            await asyncio.wait_for(self.stopping.wait(), duration_s)
+        except TimeoutError:
+            return
+
+    async def renew_socket(self) -> None:
+        """Go on as a new flow."""
+        self.socket.close()
+        self.socket = self._build_socket()
+        await self.socket.start()
+
+    def name_request(self) -> str:
+        """Name the next request."""
+        self._requests += 1
+        return f"{self.caller}-{self._requests}"
+
+    def begin(self, request: str, number: int) -> Attempt:
+        """Note an attempt in progress."""
+        attempt = Attempt(self.kind, request, number)
+        self._open[id(attempt)] = attempt
+        return attempt
+
+    def finish(
+        self, attempt: Attempt, outcome: Outcome, status: str, transmissions: int
+    ) -> None:
+        """Record how an attempt ended."""
+        del self._open[id(attempt)]
+        self.record.append(
+            Finished(
+                time=time.time(),
+                begun=attempt.begun,
+                caller=self.caller,
+                kind=attempt.kind,
+                request=attempt.request,
+                attempt=attempt.number,
+                outcome=outcome,
+                status=status,
+                host=attempt.host,
+                transmissions=transmissions,
+            )
+        )
+
+    def check_answer(self, request: str, expected: object, got: object) -> None:
+        """Record an answer that belongs to another request."""
+        if expected != got:
+            self.record.append(Crossed(time.time(), self.caller, request, str(got)))
+
+    def check_service(self, request: str, path: str, service: object) -> None:
+        """Record an answer of another service."""
+        if service != SERVICE_OF_PATH[path]:
+            self.record.append(
+                WronglyServed(time.time(), self.caller, request, str(service))
+            )
+
+    def _build_socket(self) -> CallerSocket:
+        return CallerSocket(self._service, self._timing, self.random.randrange(1 << 30))
+
+
+class FlowWatch:
+    """Tells whether the flow of a caller stays on one host.
+
+    Parameters
+    ----------
+    routine : Routine
+        The caller.
+    """
+
+    def __init__(self, routine: Routine) -> None:
+        self._routine = routine
+        self._place: Place | None = None
+        self._last_seen = 0.0
+
+    @property
+    def is_established(self) -> bool:
+        """Whether there has been an answer."""
+        return self._place is not None
+
+    def see(self, place: Place) -> None:
+        """Take the place that an answer names."""
+        if self._place is not None and self._place != place:
+            self.break_off(BreakReason.MOVED)
+        if self._place is None:
+            self._routine.record.append(
+                FlowEstablished(
+                    time.time(),
+                    self._routine.caller,
+                    self._routine.kind,
+                    place.host,
+                    place.incarnation,
+                )
+            )
+        self._place = place
+        self._last_seen = time.time()
+
+    def break_off(self, reason: BreakReason) -> None:
+        """Record that the flow broke, if it was established."""
+        if self._place is None:
+            return
+        self._routine.record.append(
+            FlowBroken(
+                time=time.time(),
+                caller=self._routine.caller,
+                kind=self._routine.kind,
+                host=self._place.host,
+                incarnation=self._place.incarnation,
+                reason=reason,
+                last_seen=self._last_seen,
+            )
+        )
+        self._place = None
+
+    def close(self) -> None:
+        """Record that the caller ends the flow."""
+        if self._place is None:
+            return
+        self._routine.record.append(
+            FlowClosed(
+                time.time(),
+                self._routine.caller,
+                self._routine.kind,
+                self._place.host,
+            )
+        )
+        self._place = None
+
+
+async def settle_repeatable(
+    routine: Routine, attempt: Attempt, reply: Reply, is_last: bool
+) -> bool:
+    """Record the end of an attempt that may be repeated, and wait as told.
+
+    Returns
+    -------
+    bool
+        Whether it was answered.
+    """
+    match reply:
+        case Silence(transmissions):
+            outcome = Outcome.LOST if is_last else Outcome.RETRIED
+            routine.finish(attempt, outcome, "silence", transmissions)
+        case Answer(message, transmissions) if is_refusal(message):
+            routine.finish(attempt, Outcome.REFUSED, str(message.code), transmissions)
+            await routine.pause(read_max_age_s(message))
+        case Answer(message, transmissions) if message.code.is_successful():
+            routine.finish(attempt, Outcome.ANSWERED, str(message.code), transmissions)
+            return True
+        case Answer(message, transmissions):
+            outcome = classify_failure(message)
+            routine.finish(attempt, outcome, str(message.code), transmissions)
+            await routine.pause(routine.pace.interval_s)
+    return False
+
+
+def is_success(reply: Reply) -> bool:
+    """Tell whether a request was answered as wanted."""
+    return isinstance(reply, Answer) and bool(reply.message.code.is_successful())
+
+
+def is_refusal(message: Message) -> bool:
+    """Tell whether an answer says that the request was not run."""
+    return bool(message.code == codes.SERVICE_UNAVAILABLE)
+
+
+def classify_failure(message: Message) -> Outcome:
+    """Tell whether a failed request may have run."""
+    if message.code == codes.GATEWAY_TIMEOUT:
+        return Outcome.UNKNOWN
+    return Outcome.FAILED
+
+
+def read_max_age_s(message: Message) -> int:
+    """Read after how long the caller is asked to come back."""
+    max_age_s = message.opt.max_age
+    return DEFAULT_MAX_AGE_S if max_age_s is None else int(max_age_s)
+
+
+def parse_json(message: Message) -> dict[str, Any]:
+    """Read a JSON payload; one of another form is taken as empty."""
+    try:
+        body = json.loads(message.payload)
+    except ValueError:
+        return {}
+    return body if isinstance(body, dict) else {}
+
+
+def read_place(body: dict[str, Any]) -> Place:
+    """Read host and incarnation from an answer."""
+    return Place(str(body.get("host")), str(body.get("incarnation")))
+
+
+__all__ = [
+    "MOST_ATTEMPTS",
+    "Attempt",
+    "FlowWatch",
+    "Pace",
+    "Routine",
+    "classify_failure",
+    "is_refusal",
+    "is_success",
+    "parse_json",
+    "read_max_age_s",
+    "read_place",
+    "settle_repeatable",
+]
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the stand-ins against each other."""
