Give operators a tool that changes all of a set or nothing

Cause: operators race one another and the platform loses answers. apply checks all files and the platform's objects first, writes in the order of dependence, and puts back by conditional update what it wrote when a write fails. Two operators may each write what only together is wrong, such as one address for two services; each checks again after its own writes, and delete looks again for users, so that one of them sees the other. Ruled out: a lock object on the platform, which a dead tool would hold.

--- /dev/null
+++ b/src/balsamstream/command/apply.py
@@ -0,0 +1,192 @@
+"""Applies a set of declared objects as one change."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from returns.result import Failure, Result, Success
+
+from ..config import Kind, check_set
+from ..platform import Missing, Unavailable
+from .outcome import (
+    NOTHING_CHANGED,
+    ExitCode,
+    Fault,
+    Output,
+    Table,
+    build_platform_fault,
+    build_problem_fault,
+)
+from .plan import Action, Step, build_plan, load_files, read_held
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from pathlib import Path
+
+    from ..config import LoadedObject
+    from ..platform import PlatformClient, PlatformError, StoredObject
+    from .outcome import Outcome
+
+DECLARED_KINDS = tuple(kind for kind in Kind if kind.is_declared)
+
+
+@dataclass(slots=True)
+class _Progress:
+    """What has become of the steps so far."""
+
+    written: list[tuple[Step, StoredObject]] = field(default_factory=list)
+    undone: list[Step] = field(default_factory=list)
+    stuck: list[Step] = field(default_factory=list)
+    unknown: list[Step] = field(default_factory=list)
+
+
+async def apply_files(
+    client: PlatformClient, paths: Sequence[Path], dry_run: bool = False
+) -> Outcome:
+    """Apply the objects of some files, all of them or none.
+
+    Parameters
+    ----------
+    client : PlatformClient
+        The platform.
+    paths : sequence of Path
+        The files.
+    dry_run : bool
+        Whether only to show what would be written.
+
+    Returns
+    -------
+    Outcome
+        What was done to each object, or what went wrong and what is in force.
+    """
+    match load_files(paths):
+        case Failure(problems):
+            return Failure(build_problem_fault(problems))
+        case Success(loaded):
+            return await _apply(client, loaded, dry_run)
+    raise AssertionError("unreachable")
+
+
+async def list_declared(
+    client: PlatformClient,
+) -> Result[list[StoredObject], Fault]:
+    """Read every declared object."""
+    found: list[StoredObject] = []
+    for kind in DECLARED_KINDS:
+        match await client.list(kind):
+            case Success(listing):
+                found.extend(listing.objects)
+            case Failure(error):
+                return Failure(build_platform_fault(error, kind.plural))
+    return Success(found)
+
+
+async def _apply(
+    client: PlatformClient, loaded: list[LoadedObject], dry_run: bool
+) -> Outcome:
+    stored = await list_declared(client)
+    planned = stored.bind(lambda items: build_plan(loaded, items))
+    if not isinstance(planned, Success):
+        return Failure(planned.failure())
+    steps = planned.unwrap()
+    if dry_run:
+        return Success(_show(steps, "would "))
+    progress = _Progress()
+    fault = await _write_steps(client, steps, progress)
+    if fault is None and progress.written:
+        fault = await _check_again(client, loaded)
+    if fault is None:
+        return Success(_show(steps, ""))
+    await _undo(client, progress)
+    return Failure(_describe_failure(fault, steps, progress))
+
+
+async def _write_steps(
+    client: PlatformClient, steps: list[Step], progress: _Progress
+) -> Fault | None:
+    for step in steps:
+        if step.action is Action.KEEP:
+            continue
+        result = await client.write(step.kind, step.name, step.base, step.spec)
+        if isinstance(result, Success):
+            progress.written.append((step, result.unwrap()))
+            continue
+        error: PlatformError = result.failure()
+        if isinstance(error, Unavailable) and error.may_have_taken_effect:
+            progress.unknown.append(step)
+        return build_platform_fault(error, step.subject)
+    return None
+
+
+async def _check_again(
+    client: PlatformClient, loaded: list[LoadedObject]
+) -> Fault | None:
+    # Two operators may have written at once what only together is wrong: each
+    # checks after its own writes, so at least one of them sees the other's.
+    match await list_declared(client):
+        case Success(stored):
+            problems = check_set(loaded, read_held(stored))
+        case Failure(fault):
+            return Fault(ExitCode.UNAVAILABLE, fault.lines)
+    if not problems:
+        return None
+    lines = ("another operator's change clashes with this one",)
+    fault = build_problem_fault(problems)
+    return Fault(ExitCode.CONFLICT, lines + fault.lines, fault.value)
+
+
+async def _undo(client: PlatformClient, progress: _Progress) -> None:
+    for step, written in reversed(progress.written):
+        result: Result[Any, PlatformError]
+        if step.base is None:
+            result = await client.remove(written)
+        else:
+            base = step.base
+            result = await client.write(step.kind, step.name, written, base.spec)
+        if isinstance(result, Success) or isinstance(result.failure(), Missing):
+            progress.undone.append(step)
+            continue
+        progress.stuck.append(step)
+
+
+def _describe_failure(fault: Fault, steps: list[Step], progress: _Progress) -> Fault:
+    touched = {step.subject for step, _ in progress.written}
+    touched.update(step.subject for step in progress.unknown)
+    states = {
+        "undone": progress.undone,
+        "still_changed": progress.stuck,
+        "unknown": progress.unknown,
+        "not_changed": [step for step in steps if step.subject not in touched],
+    }
+    texts = {
+        "undone": "was changed and is back as it was",
+        "still_changed": "is changed and could not be put back",
+        "unknown": "may be changed or not",
+        "not_changed": "was not changed",
+    }
+    lines = [
+        f"{step.subject} {texts[state]}" for state in states for step in states[state]
+    ]
+    value = {state: [step.subject for step in states[state]] for state in states}
+    code = fault.code
+    if progress.unknown:
+        code = ExitCode.UNKNOWN
+    if progress.stuck:
+        code = ExitCode.PARTIAL
+    kept = tuple(line for line in fault.lines if line != NOTHING_CHANGED)
+    return Fault(code, kept + tuple(lines), fault.value | value)
+
+
+def _show(steps: list[Step], prefix: str) -> Output:
+    rows = tuple(
+        (step.kind.value, step.name, prefix + step.action.value) for step in steps
+    )
+    value = [
+        {"kind": step.kind.value, "name": step.name, "action": step.action.value}
+        for step in steps
+    ]
+    return Output(value, (Table(("kind", "name", "action"), rows),))
+
+
+__all__ = ["apply_files", "list_declared"]
--- /dev/null
+++ b/src/balsamstream/command/daemons.py
@@ -0,0 +1,67 @@
+"""Reads what daemons serve at their status addresses."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING, Any, Final
+
+from returns.result import Failure, Result, Success
+
+from ..platform import HttpTransport
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+MOST_CALLS: Final = 32
+
+
+async def read_daemons(
+    addresses: Sequence[str], path: str
+) -> dict[str, Result[dict[str, Any], str]]:
+    """Read one page of each daemon.
+
+    Parameters
+    ----------
+    addresses : sequence of str
+        Status addresses, as ``IP:PORT``.
+    path : str
+        ``/status`` or ``/burn``.
+
+    Returns
+    -------
+    dict of str to Result[dict, str]
+        The JSON object of each address, or why there is none.
+    """
+    free = asyncio.Semaphore(MOST_CALLS)
+
+    async def read(address: str) -> Result[dict[str, Any], str]:
+        async with free:
+            return await _read_daemon(address, path)
+
+    pages = await asyncio.gather(*(read(address) for address in addresses))
+    return dict(zip(addresses, pages))
+
+
+async def _read_daemon(address: str, path: str) -> Result[dict[str, Any], str]:
+    transport = HttpTransport(f"http://{address}")
+    await transport.start()
+    try:
+        result = await transport.call("GET", path, {}, None)
+    finally:
+        await transport.close()
+    if not isinstance(result, Success):
+        return Failure(result.failure().text)
+    answer = result.unwrap()
+    if answer.status != 200:
+        return Failure(f"the daemon answered {answer.status}")
+    try:
+        page = json.loads(answer.body)
+    except ValueError:
+        return Failure("the daemon's answer is not JSON")
+    if not isinstance(page, dict):
+        return Failure("the daemon's answer is no JSON object")
+    return Success(page)
+
+
+__all__ = ["read_daemons"]
--- /dev/null
+++ b/src/balsamstream/command/delete.py
@@ -0,0 +1,105 @@
+"""Deletes objects that nothing uses."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Result, Success
+
+from ..config import Kind
+from .fleet import list_hosts
+from .outcome import (
+    NOTHING_CHANGED,
+    ExitCode,
+    Fault,
+    Output,
+    build_platform_fault,
+    name_object,
+)
+
+if TYPE_CHECKING:
+    from ..platform import PlatformClient, StoredObject
+    from .outcome import Outcome
+
+
+async def delete_object(client: PlatformClient, kind: Kind, name: str) -> Outcome:
+    """Delete an object unless it is in use."""
+    if kind is Kind.VIEW:
+        line = "views belong to the daemons, drain or stop the hosts instead"
+        return Failure(Fault(ExitCode.USAGE, (line,)))
+    match await client.get(kind, name):
+        case Failure(error):
+            subject = f"{kind.value.lower()} {name}"
+            return Failure(build_platform_fault(error, subject))
+        case Success(stored):
+            return await _delete(client, stored)
+    raise AssertionError("unreachable")
+
+
+async def _delete(client: PlatformClient, stored: StoredObject) -> Outcome:
+    subject = name_object(stored)
+    users = await _find_users(client, stored)
+    if not isinstance(users, Success):
+        return Failure(users.failure())
+    if users.unwrap():
+        return Failure(_build_use(stored, users.unwrap()))
+    result = await client.remove(stored)
+    if not isinstance(result, Success):
+        return Failure(build_platform_fault(result.failure(), subject))
+    # A service may have come to use it between the check and the deletion.
+    late = (await _find_users(client, stored)).value_or([])
+    if late:
+        return Failure(await _restore(client, stored, late))
+    value = {"kind": stored.kind.value, "name": stored.name, "action": "delete"}
+    return Success(Output(value, lines=(f"{subject} was deleted",)))
+
+
+async def _find_users(
+    client: PlatformClient, stored: StoredObject
+) -> Result[list[str], Fault]:
+    if stored.kind is Kind.PROFILE:
+        kind = Kind.SERVICE
+    elif stored.kind is Kind.DATA_CENTRE:
+        kind = Kind.VIEW
+    else:
+        return Success([])
+    match await client.list(kind):
+        case Failure(error):
+            return Failure(build_platform_fault(error, kind.plural))
+        case Success(listing):
+            return Success(_name_users(stored, listing.objects))
+    raise AssertionError("unreachable")
+
+
+def _name_users(stored: StoredObject, objects: tuple[StoredObject, ...]) -> list[str]:
+    if stored.kind is Kind.PROFILE:
+        return [
+            f"service {item.name}"
+            for item in objects
+            if item.spec.get("profile") == stored.name
+        ]
+    hosts = list_hosts(objects)
+    return [f"host {host.name}" for host in hosts if host.data_centre == stored.name]
+
+
+def _build_use(stored: StoredObject, users: list[str]) -> Fault:
+    line = f"{name_object(stored)} is used by {', '.join(users)}"
+    lines = (line, NOTHING_CHANGED)
+    return Fault(ExitCode.IN_USE, lines, {"used_by": users})
+
+
+async def _restore(
+    client: PlatformClient, stored: StoredObject, users: list[str]
+) -> Fault:
+    subject = name_object(stored)
+    line = f"{subject} came into use by {', '.join(users)} while it was deleted"
+    result = await client.write(stored.kind, stored.name, None, stored.spec)
+    if isinstance(result, Success):
+        lines = (line, "it was put back as it was")
+        return Fault(ExitCode.IN_USE, lines, {"used_by": users})
+    fault = build_platform_fault(result.failure(), subject)
+    kept = (line, "it could not be put back", *fault.lines)
+    return Fault(ExitCode.PARTIAL, kept, {"used_by": users})
+
+
+__all__ = ["delete_object"]
--- /dev/null
+++ b/src/balsamstream/command/fleet.py
@@ -0,0 +1,107 @@
+"""Views and balancers as the daemons keep them, read for the operator."""
+
+from __future__ import annotations
+
+import copy
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from ..config import Kind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..platform import StoredObject
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """A member of a service's view.
+
+    Attributes
+    ----------
+    service, name, data_centre, address, state : str
+        As the view has them.
+    slots, incarnation : int
+        As the view has them.
+    """
+
+    service: str
+    name: str
+    data_centre: str
+    address: str
+    state: str
+    slots: int
+    incarnation: int
+
+
+class _Model(BaseModel):
+    # The daemons may write fields of later releases.
+    model_config = ConfigDict(extra="ignore")
+
+
+class _MemberModel(_Model):
+    name: str
+    incarnation: int = 0
+    address: str = ""
+    data_centre: str = ""
+    slots: int = 0
+    state: str = ""
+
+
+class _ViewModel(_Model):
+    number: int = 0
+    members: list[_MemberModel] = Field(default_factory=list)
+
+
+class _BalancerModel(_Model):
+    address: str = ""
+    data_centre: str = ""
+
+
+def list_hosts(views: Iterable[StoredObject]) -> list[Host]:
+    """List the members of views, leaving out views that can't be read."""
+    hosts: list[Host] = []
+    for view in views:
+        if view.kind is not Kind.VIEW:
+            continue
+        try:
+            model = _ViewModel.model_validate(view.spec)
+        except ValidationError:
+            continue
+        for member in model.members:
+            hosts.append(
+                Host(
+                    view.name,
+                    member.name,
+                    member.data_centre,
+                    member.address,
+                    member.state,
+                    member.slots,
+                    member.incarnation,
+                )
+            )
+    return hosts
+
+
+def find_data_centre(stored: StoredObject) -> str:
+    """Tell the data centre of a balancer, empty where unknown."""
+    try:
+        return _BalancerModel.model_validate(stored.spec).data_centre
+    except ValidationError:
+        return ""
+
+
+def set_member_state(spec: dict[str, Any], name: str, state: str) -> dict[str, Any]:
+    """Build a view's content with one member in another state."""
+    changed = copy.deepcopy(spec)
+    for member in changed.get("members", []):
+        if member.get("name") == name:
+            member["state"] = state
+    changed["number"] = changed.get("number", 0) + 1
+    return changed
+
+
+__all__ = ["Host", "find_data_centre", "list_hosts", "set_member_state"]
--- /dev/null
+++ b/src/balsamstream/command/plan.py
@@ -0,0 +1,156 @@
+"""What applying a set of objects would write."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Final
+
+from returns.result import Failure, Result, Success
+
+from ..config import (
+    ConfigObject,
+    Kind,
+    LoadedObject,
+    Problem,
+    build_spec,
+    check_set,
+    load_file,
+    parse_spec,
+)
+from .outcome import ExitCode, Fault, build_problem_fault, describe_change, name_object
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+    from pathlib import Path
+
+    from ..platform import StoredObject
+
+# A service is written after the profile that it names.
+WRITE_ORDER: Final = (Kind.PROFILE, Kind.SERVICE, Kind.DATA_CENTRE)
+
+
+class Action(enum.Enum):
+    """What is done to an object."""
+
+    CREATE = "create"
+    UPDATE = "update"
+    KEEP = "keep"
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One object to write.
+
+    Attributes
+    ----------
+    action : Action
+        What is done.
+    kind : Kind
+        Kind of the object.
+    name : str
+        Name of the object.
+    spec : dict
+        Content to write.
+    base : StoredObject or None
+        The object as the platform holds it.
+    """
+
+    action: Action
+    kind: Kind
+    name: str
+    spec: dict[str, Any]
+    base: StoredObject | None
+
+    @property
+    def subject(self) -> str:
+        """The object as in a sentence."""
+        return f"{self.kind.value.lower()} {self.name}"
+
+
+def load_files(paths: Iterable[Path]) -> Result[list[LoadedObject], list[Problem]]:
+    """Load every file, or give every problem of all of them."""
+    loaded: list[LoadedObject] = []
+    problems: list[Problem] = []
+    for path in paths:
+        match load_file(path):
+            case Success(found):
+                loaded.extend(found)
+            case Failure(found):
+                problems.extend(found)
+    if problems:
+        return Failure(problems)
+    return Success(loaded)
+
+
+def read_held(stored: Iterable[StoredObject]) -> list[ConfigObject]:
+    """Read the declared objects that the platform holds.
+
+    One that this release can't read is left out.
+    """
+    held: list[ConfigObject] = []
+    for item in stored:
+        if not item.kind.is_declared:
+            continue
+        match parse_spec(item.kind, item.name, item.spec):
+            case Success(parsed):
+                held.append(parsed)
+    return held
+
+
+def build_plan(
+    loaded: Sequence[LoadedObject], stored: Sequence[StoredObject]
+) -> Result[list[Step], Fault]:
+    """Check a set against the platform's objects and plan its writes.
+
+    Parameters
+    ----------
+    loaded : sequence of LoadedObject
+        The objects to apply.
+    stored : sequence of StoredObject
+        What the platform holds.
+
+    Returns
+    -------
+    Result[list[Step], Fault]
+        One step for each object in the order of writing, or what is wrong.
+    """
+    problems = check_set(loaded, read_held(stored))
+    if problems:
+        return Failure(build_problem_fault(problems))
+    by_key = {(item.kind, item.name): item for item in stored}
+    steps: list[Step] = []
+    ordered = sorted(loaded, key=lambda entry: WRITE_ORDER.index(entry.kind))
+    for entry in ordered:
+        base = by_key.get((entry.kind, entry.item.name))
+        stale = _check_version(entry, base)
+        if stale is not None:
+            return Failure(stale)
+        steps.append(_build_step(entry, base))
+    return Success(steps)
+
+
+def _check_version(entry: LoadedObject, base: StoredObject | None) -> Fault | None:
+    if entry.version is None:
+        return None
+    version = base.version if base is not None else None
+    if version == entry.version:
+        return None
+    place = entry.report("metadata.resourceVersion", f"asks for {entry.version}")
+    if base is None:
+        return Fault(ExitCode.CONFLICT, (f"{place}, but the object is deleted",))
+    line = f"{place}, but {describe_change(base)} ({name_object(base)})"
+    value = {"changed_by": base.changed_by, "version": base.version}
+    return Fault(ExitCode.CONFLICT, (line,), value)
+
+
+def _build_step(entry: LoadedObject, base: StoredObject | None) -> Step:
+    spec = build_spec(entry.item)
+    action = Action.CREATE
+    if base is not None:
+        same = parse_spec(base.kind, base.name, base.spec) == Success(entry.item)
+        action = Action.KEEP if same else Action.UPDATE
+    return Step(action, entry.kind, entry.item.name, spec, base)
+
+
+__all__ = ["Action", "Step", "build_plan", "load_files", "read_held"]
--- /dev/null
+++ b/src/balsamstream/command/printer.py
@@ -0,0 +1,74 @@
+"""Shows what a command ended with."""
+
+from __future__ import annotations
+
+import json
+import sys
+from typing import TYPE_CHECKING, Any, Final
+
+from returns.result import Failure, Success
+
+from .outcome import ExitCode, Fault, Output
+from .session import Form
+
+if TYPE_CHECKING:
+    from .outcome import Outcome, Table
+
+PIPE_WIDTH: Final = 240
+
+
+def show_outcome(outcome: Outcome, form: Form) -> int:
+    """Show an outcome and return the exit code."""
+    match outcome:
+        case Success(Output() as output):
+            _show_output(output, form)
+            return ExitCode.SUCCESS
+        case Failure(Fault() as fault):
+            _show_fault(fault, form)
+            return fault.code
+    raise AssertionError("unreachable")
+
+
+def _show_output(output: Output, form: Form) -> None:
+    if form is Form.JSON:
+        print(_write_json(output.value))
+        return
+    for table in output.tables:
+        _show_table(table)
+    for line in output.lines:
+        print(line)
+
+
+def _show_fault(fault: Fault, form: Form) -> None:
+    if form is Form.JSON:
+        error = {"code": fault.code.name.lower(), "lines": fault.lines, **fault.value}
+        print(_write_json({"error": error}), file=sys.stderr)
+        return
+    for line in fault.lines:
+        print(f"error: {line}", file=sys.stderr)
+
+
+def _show_table(table: Table) -> None:
+    from rich.console import Console
+    from rich.table import Table as RichTable
+    from rich.text import Text
+
+    width = None if sys.stdout.isatty() else PIPE_WIDTH
+    console = Console(file=sys.stdout, width=width, highlight=False)
+    title = Text(table.title) if table.title else None
+    shown = RichTable(title=title, title_justify="left", box=None, pad_edge=False)
+    for column in table.columns:
+        shown.add_column(Text(column.upper()), overflow="fold")
+    for row in table.rows:
+        # Names and texts of others are shown as they are, not as markup.
+        shown.add_row(*(Text(cell) for cell in row))
+    console.print(shown)
+    if not table.rows:
+        console.print("(none)")
+
+
+def _write_json(value: Any) -> str:  # noqa: ANN401 - any JSON value
+    return json.dumps(value, indent=2, ensure_ascii=False)
+
+
+__all__ = ["show_outcome"]
--- /dev/null
+++ b/src/balsamstream/command/session.py
@@ -0,0 +1,87 @@
+"""A command's connection to the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import getpass
+import os
+import socket
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from returns.result import Failure
+
+from ..platform import HttpTransport, PlatformClient
+from .outcome import ExitCode, Fault
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from .outcome import Outcome
+
+
+class Form(enum.Enum):
+    """Form of what a command shows."""
+
+    TABLE = "table"
+    JSON = "json"
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """Options of every command.
+
+    Attributes
+    ----------
+    platform : str or None
+        URL of the platform.
+    ca_file : str or None
+        Certificates to trust in place of the system's.
+    form : Form
+        Form of what is shown.
+    """
+
+    platform: str | None = None
+    ca_file: str | None = None
+    form: Form = Form.TABLE
+
+
+def run_on_platform(
+    options: Options, action: Callable[[PlatformClient], Awaitable[Outcome]]
+) -> Outcome:
+    """Run an action with a client of the platform, and close the client."""
+    if options.platform is None:
+        line = "name the platform by --platform URL or by BALSAMSTREAM_PLATFORM"
+        return Failure(Fault(ExitCode.USAGE, (line,)))
+    transport = HttpTransport(options.platform, options.ca_file)
+    client = PlatformClient(transport, author=name_author())
+    return asyncio.run(_run(client, options, action))
+
+
+def name_author() -> str:
+    """Name who makes changes, as ``USER@MACHINE:PID``."""
+    try:
+        user = getpass.getuser()
+    except (KeyError, OSError):
+        user = str(os.getuid())
+    return f"{user}@{socket.gethostname()}:{os.getpid()}"
+
+
+async def _run(
+    client: PlatformClient,
+    options: Options,
+    action: Callable[[PlatformClient], Awaitable[Outcome]],
+) -> Outcome:
+    try:
+        await client.start()
+    except OSError as error:
+        line = f"--ca-file {options.ca_file}: {error.strerror or error}"
+        return Failure(Fault(ExitCode.USAGE, (line,)))
+    try:
+        return await action(client)
+    finally:
+        await client.close()
+
+
+__all__ = ["Form", "Options", "name_author", "run_on_platform"]
--- /dev/null
+++ b/src/balsamstream/command/show.py
@@ -0,0 +1,158 @@
+"""Shows objects of the platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from returns.result import Failure, Success
+
+from ..config import API_VERSION, Kind
+from .fleet import find_data_centre, list_hosts
+from .outcome import Output, Table, build_platform_fault
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from ..platform import PlatformClient, StoredObject
+    from .outcome import Outcome
+
+
+async def get_objects(client: PlatformClient, kind: Kind, name: str | None) -> Outcome:
+    """Show every object of a kind, or one of them, a line each."""
+    if name is None:
+        match await client.list(kind):
+            case Success(listing):
+                return Success(_show_objects(kind, listing.objects))
+            case Failure(error):
+                return Failure(build_platform_fault(error, kind.plural))
+    match await client.get(kind, name or ""):
+        case Success(stored):
+            output = _show_objects(kind, [stored])
+            return Success(Output(write_object(stored), output.tables))
+        case Failure(error):
+            subject = f"{kind.value.lower()} {name}"
+            return Failure(build_platform_fault(error, subject))
+    raise AssertionError("unreachable")
+
+
+async def describe_object(client: PlatformClient, kind: Kind, name: str) -> Outcome:
+    """Show every field of an object and what belongs to it."""
+    match await client.get(kind, name):
+        case Failure(error):
+            subject = f"{kind.value.lower()} {name}"
+            return Failure(build_platform_fault(error, subject))
+        case Success(stored):
+            match await client.list_all():
+                case Failure(error):
+                    return Failure(build_platform_fault(error, "objects"))
+                case Success(listing):
+                    return Success(_describe(stored, listing.objects))
+    raise AssertionError("unreachable")
+
+
+def write_object(stored: StoredObject) -> dict[str, Any]:
+    """Build the form of an object that `apply` takes."""
+    return {
+        "apiVersion": API_VERSION,
+        "kind": stored.kind.value,
+        "metadata": {
+            "name": stored.name,
+            "resourceVersion": str(stored.version),
+            "annotations": {"balsamstream/changed-by": stored.changed_by},
+        },
+        "spec": stored.spec,
+    }
+
+
+def _show_objects(kind: Kind, objects: Sequence[StoredObject]) -> Output:
+    columns = ("name", *_COLUMNS[kind], "version", "changed by")
+    rows = tuple(
+        (
+            stored.name,
+            *_show_cells(stored),
+            str(stored.version),
+            stored.changed_by,
+        )
+        for stored in objects
+    )
+    value = [write_object(stored) for stored in objects]
+    return Output(value, (Table(columns, rows),))
+
+
+_COLUMNS = {
+    Kind.PROFILE: ("requests", "deadline_ms", "choices", "locality"),
+    Kind.SERVICE: ("address", "profile", "protocol"),
+    Kind.DATA_CENTRE: ("state",),
+    Kind.VIEW: ("number", "hosts"),
+    Kind.BALANCER: ("address", "data_centre"),
+}
+
+
+def _show_cells(stored: StoredObject) -> tuple[str, ...]:
+    if stored.kind is Kind.VIEW:
+        return str(stored.spec.get("number", "")), str(len(list_hosts([stored])))
+    return tuple(str(stored.spec.get(column, "")) for column in _COLUMNS[stored.kind])
+
+
+def _describe(stored: StoredObject, objects: Sequence[StoredObject]) -> Output:
+    rows = [
+        ("kind", stored.kind.value),
+        ("name", stored.name),
+        ("version", str(stored.version)),
+        ("changed by", stored.changed_by),
+        *_flatten("", stored.spec),
+    ]
+    related = _find_related(stored, objects)
+    value = write_object(stored)
+    value["related"] = {title: list(names) for title, names in related.items()}
+    tables = [Table(("field", "value"), tuple(rows))]
+    for title, names in related.items():
+        tables.append(Table((title,), tuple((name,) for name in names)))
+    return Output(value, tuple(tables))
+
+
+def _find_related(
+    stored: StoredObject, objects: Sequence[StoredObject]
+) -> dict[str, list[str]]:
+    services = [item for item in objects if item.kind is Kind.SERVICE]
+    hosts = list_hosts(objects)
+    match stored.kind:
+        case Kind.PROFILE:
+            users = [s.name for s in services if s.spec.get("profile") == stored.name]
+            return {"services": users}
+        case Kind.SERVICE:
+            members = [
+                f"{host.name} ({host.state}, {host.data_centre}, {host.slots} slots)"
+                for host in hosts
+                if host.service == stored.name
+            ]
+            return {"hosts": members}
+        case Kind.DATA_CENTRE:
+            inside = [h.name for h in hosts if h.data_centre == stored.name]
+            balancers = [
+                item.name
+                for item in objects
+                if item.kind is Kind.BALANCER and find_data_centre(item) == stored.name
+            ]
+            return {"hosts": inside, "balancers": balancers}
+        case _:
+            return {}
+
+
+def _flatten(path: str, value: Any) -> list[tuple[str, str]]:  # noqa: ANN401 - JSON
+    if isinstance(value, dict):
+        rows: list[tuple[str, str]] = []
+        for key, part in value.items():
+            rows.extend(_flatten(f"{path}.{key}" if path else str(key), part))
+        return rows
+    if isinstance(value, list) and any(isinstance(part, dict) for part in value):
+        rows = []
+        for index, part in enumerate(value):
+            rows.extend(_flatten(f"{path}.{index}", part))
+        return rows
+    if isinstance(value, list):
+        return [(path, ", ".join(str(part) for part in value))]
+    return [(path, str(value))]
+
+
+__all__ = ["describe_object", "get_objects", "write_object"]
--- /dev/null
+++ b/tests/command/samples.py
@@ -0,0 +1,69 @@
+"""Objects that the tests of the tool work on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from balsamstream.config import Kind
+    from balsamstream.platform import PlatformClient
+
+PROFILE = """\
+apiVersion: balsamstream/v1
+kind: Profile
+metadata: {name: counter}
+spec: {deadline_ms: 2000}
+"""
+SERVICE = """\
+apiVersion: balsamstream/v1
+kind: Service
+metadata: {name: comptoir}
+spec: {address: "127.0.0.1:5683", profile: counter}
+"""
+DATA_CENTRE = """\
+apiVersion: balsamstream/v1
+kind: DataCentre
+metadata: {name: medina}
+spec: {state: in}
+"""
+
+
+def write_file(folder: Path, *documents: str) -> Path:
+    """Write a file of objects, the service first."""
+    path = folder / "objects.yaml"
+    path.write_text("---\n".join(documents), encoding="utf-8")
+    return path
+
+
+def build_view() -> dict[str, Any]:
+    """Build the content of a view of two hosts in two data centres."""
+    members = [
+        {
+            "name": f"comptoir-{number}",
+            "incarnation": number,
+            "address": f"127.0.0.1:700{number}",
+            "data_centre": data_centre,
+            "slots": 2,
+            "state": "active",
+        }
+        for number, data_centre in [(1, "medina"), (2, "thyna")]
+    ]
+    return {"number": 7, "members": members, "voter_sets": [{"epoch": 1}]}
+
+
+async def read_spec(client: PlatformClient, kind: Kind, name: str) -> dict[str, Any]:
+    """Read an object's content, empty where it is missing."""
+    result = await client.get(kind, name)
+    return result.unwrap().spec if result.map(bool).value_or(False) else {}
+
+
+__all__ = [
+    "DATA_CENTRE",
+    "PROFILE",
+    "SERVICE",
+    "build_view",
+    "read_spec",
+    "write_file",
+]
--- /dev/null
+++ b/tests/command/test_apply.py
@@ -0,0 +1,170 @@
+"""Applying a set changes all of it or nothing, and says which."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from returns.result import Failure, Result, Success
+
+from balsamstream.command.apply import apply_files
+from balsamstream.command.outcome import ExitCode, Fault, Outcome
+from balsamstream.config import Kind
+from balsamstream.platform import (
+    PlatformClient,
+    PlatformError,
+    StoredObject,
+    Unavailable,
+)
+from tests.command.samples import (
+    DATA_CENTRE,
+    PROFILE,
+    SERVICE,
+    read_spec,
+    write_file,
+)
+from tests.platform.bench import open_client, open_platform
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+def actions(outcome: Outcome) -> list[str]:
+    return [step["action"] for step in outcome.unwrap().value]
+
+
+def fault_of(outcome: Outcome) -> Fault:
+    assert isinstance(outcome, Failure), outcome
+    return outcome.failure()
+
+
+def test_writes_what_differs_and_nothing_else(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with open_platform() as (platform, url), open_client(url) as client:
+            path = write_file(tmp_path, SERVICE, PROFILE, DATA_CENTRE)
+            planned = await apply_files(client, [path], dry_run=True)
+            assert actions(planned) == ["create"] * 3
+            assert platform.calls.writes == 0
+            assert actions(await apply_files(client, [path])) == ["create"] * 3
+            assert actions(await apply_files(client, [path])) == ["keep"] * 3
+            write_file(tmp_path, SERVICE, PROFILE.replace("2000", "900"))
+            assert actions(await apply_files(client, [path])) == ["update", "keep"]
+            assert platform.calls.writes == 4
+            spec = await read_spec(client, Kind.PROFILE, "counter")
+            assert (spec["deadline_ms"], spec["choices"]) == (900, 2)
+
+    asyncio.run(run())
+
+
+def test_invalid_set_writes_nothing(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with open_platform() as (platform, url), open_client(url) as client:
+            path = write_file(tmp_path, PROFILE, SERVICE.replace("counter", "other"))
+            fault = fault_of(await apply_files(client, [path]))
+            assert fault.code is ExitCode.INVALID
+            assert fault.lines == (
+                f"{path}:9: spec.profile: no profile is named other",
+            )
+            assert platform.calls.writes == 0
+
+    asyncio.run(run())
+
+
+def test_stale_version_in_a_file_is_a_conflict(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with open_platform() as (_, url), open_client(url, "bob") as client:
+            path = write_file(tmp_path, PROFILE)
+            await apply_files(client, [path])
+            name = "{name: counter, resourceVersion: '99'}"
+            write_file(tmp_path, PROFILE.replace("{name: counter}", name))
+            fault = fault_of(await apply_files(client, [path]))
+            assert fault.code is ExitCode.CONFLICT
+            assert "bob changed it to version 1" in fault.lines[0]
+
+    asyncio.run(run())
+
+
+class BrokenClient:
+    """A client whose write of one kind fails in a given way."""
+
+    def __init__(
+        self, client: PlatformClient, kind: Kind, error: PlatformError | None
+    ) -> None:
+        self._client = client
+        self._kind = kind
+        self._error = error
+
+    def __getattr__(self, name: str) -> Any:
+        """Pass every other call through."""
+        return getattr(self._client, name)
+
+    async def write(
+        self, kind: Kind, name: str, base: StoredObject | None, spec: dict[str, Any]
+    ) -> Result[StoredObject, PlatformError]:
+        """Write, or fail as set up."""
+        if kind is not self._kind:
+            return await self._client.write(kind, name, base, spec)
+        if self._error is not None:
+            return Failure(self._error)
+        # Another operator is faster.
+        await self._client.create(kind, name, {"theirs": True})
+        return await self._client.write(kind, name, base, spec)
+
+
+async def apply_broken(
+    client: PlatformClient, path: Path, error: PlatformError | None
+) -> Fault:
+    broken: Any = BrokenClient(client, Kind.DATA_CENTRE, error)
+    return fault_of(await apply_files(broken, [path]))
+
+
+def test_failure_midway_puts_back_what_was_written(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with open_platform() as (_, url), open_client(url, "eve") as client:
+            await apply_files(client, [write_file(tmp_path, PROFILE)])
+            before = await read_spec(client, Kind.PROFILE, "counter")
+            changed = PROFILE.replace("2000", "900")
+            path = write_file(tmp_path, SERVICE, changed, DATA_CENTRE)
+            fault = await apply_broken(client, path, None)
+            assert fault.code is ExitCode.CONFLICT
+            assert "eve changed it to version 4" in fault.lines[0]
+            assert fault.value["undone"] == ["service comptoir", "profile counter"]
+            assert fault.value["not_changed"] == ["datacentre medina"]
+            assert await read_spec(client, Kind.PROFILE, "counter") == before
+            assert await read_spec(client, Kind.SERVICE, "comptoir") == {}
+
+    asyncio.run(run())
+
+
+def test_unknown_effect_is_said_so(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with open_platform() as (_, url), open_client(url) as client:
+            path = write_file(tmp_path, PROFILE, DATA_CENTRE)
+            fault = await apply_broken(client, path, Unavailable(True, "cut off"))
+            assert fault.code is ExitCode.UNKNOWN
+            assert fault.value["unknown"] == ["datacentre medina"]
+            assert fault.value["undone"] == ["profile counter"]
+
+    asyncio.run(run())
+
+
+def test_two_operators_cannot_take_one_address(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with (
+            open_platform() as (_, url),
+            open_client(url) as ada,
+            open_client(url, "bob") as bob,
+        ):
+            await apply_files(ada, [write_file(tmp_path, PROFILE)])
+            folder = tmp_path / "bob"
+            folder.mkdir()
+            mine = write_file(tmp_path, SERVICE)
+            theirs = write_file(folder, SERVICE.replace("comptoir", "etiquettes"))
+            outcomes = await asyncio.gather(
+                apply_files(ada, [mine]), apply_files(bob, [theirs])
+            )
+            listing = (await ada.list(Kind.SERVICE)).unwrap()
+            successes = [item for item in outcomes if isinstance(item, Success)]
+            assert len(listing.objects) == len(successes) <= 1
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/command/test_operations.py
@@ -0,0 +1,146 @@
+"""Hosts, data centres and objects are changed only where that is safe."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from balsamstream.command.apply import apply_files
+from balsamstream.command.change import (
+    ACTIVE,
+    DRAINING,
+    change_data_centre,
+    change_host,
+)
+from balsamstream.command.delete import delete_object
+from balsamstream.command.outcome import ExitCode
+from balsamstream.command.show import describe_object, get_objects
+from balsamstream.command.status import show_status
+from balsamstream.config import DataCentreState, Kind
+from tests.command.samples import (
+    DATA_CENTRE,
+    PROFILE,
+    SERVICE,
+    build_view,
+    read_spec,
+    write_file,
+)
+from tests.platform.bench import open_client, open_platform
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+def test_drain_changes_one_host_of_the_view() -> None:
+    async def run() -> None:
+        async with open_platform() as (_, url), open_client(url) as client:
+            await client.create(Kind.VIEW, "comptoir", build_view())
+            outcome = await change_host(client, "comptoir-2", DRAINING)
+            assert outcome.unwrap().value["changed"] is True
+            expected = build_view()
+            expected["number"] = 8
+            expected["members"][1]["state"] = "draining"
+            assert await read_spec(client, Kind.VIEW, "comptoir") == expected
+            again = await change_host(client, "comptoir-2", DRAINING, "comptoir")
+            assert again.unwrap().value["changed"] is False
+            await change_host(client, "comptoir-2", ACTIVE)
+            view = await read_spec(client, Kind.VIEW, "comptoir")
+            assert (view["number"], view["members"][1]["state"]) == (9, "active")
+
+    asyncio.run(run())
+
+
+def test_drain_needs_a_host_that_is_up_and_named_once() -> None:
+    async def run() -> None:
+        async with open_platform() as (_, url), open_client(url) as client:
+            view = build_view()
+            view["members"][0]["state"] = "down"
+            await client.create(Kind.VIEW, "comptoir", view)
+            await client.create(Kind.VIEW, "etiquettes", build_view())
+            codes = [
+                (await change_host(client, *arguments)).failure().code
+                for arguments in [
+                    ("comptoir-1", DRAINING, "comptoir"),
+                    ("comptoir-1", DRAINING),
+                    ("comptoir-9", DRAINING),
+                    ("comptoir-1", DRAINING, "guides"),
+                ]
+            ]
+            missing = ExitCode.MISSING
+            assert codes == [ExitCode.CONFLICT, ExitCode.USAGE, missing, missing]
+
+    asyncio.run(run())
+
+
+def test_drain_survives_a_lost_answer() -> None:
+    async def run() -> None:
+        async with open_platform() as (platform, url), open_client(url) as client:
+            await client.create(Kind.VIEW, "comptoir", build_view())
+            platform.faults.lose_answers = 1
+            await change_host(client, "comptoir-2", DRAINING)
+            assert (await read_spec(client, Kind.VIEW, "comptoir"))["number"] == 8
+
+    asyncio.run(run())
+
+
+def test_data_centre_goes_out_and_in_if_known() -> None:
+    async def run() -> None:
+        async with open_platform() as (_, url), open_client(url) as client:
+            await client.create(Kind.VIEW, "comptoir", build_view())
+            out = await change_data_centre(client, "thyna", DataCentreState.OUT)
+            assert out.unwrap().value["changed"] is True
+            assert await read_spec(client, Kind.DATA_CENTRE, "thyna") == {
+                "state": "out"
+            }
+            await change_data_centre(client, "thyna", DataCentreState.IN)
+            assert await read_spec(client, Kind.DATA_CENTRE, "thyna") == {"state": "in"}
+            unknown = await change_data_centre(client, "tunis", DataCentreState.OUT)
+            assert unknown.failure().code is ExitCode.MISSING
+            assert unknown.failure().lines[0].endswith("known are: medina, thyna")
+
+    asyncio.run(run())
+
+
+def test_delete_refuses_what_is_in_use(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with open_platform() as (_, url), open_client(url) as client:
+            path = write_file(tmp_path, PROFILE, SERVICE, DATA_CENTRE)
+            await apply_files(client, [path])
+            await client.create(Kind.VIEW, "comptoir", build_view())
+            for kind, name, user in [
+                (Kind.PROFILE, "counter", "service comptoir"),
+                (Kind.DATA_CENTRE, "medina", "host comptoir-1"),
+            ]:
+                fault = (await delete_object(client, kind, name)).failure()
+                assert fault.code is ExitCode.IN_USE
+                assert fault.value["used_by"] == [user]
+            fault = (await delete_object(client, Kind.VIEW, "comptoir")).failure()
+            assert fault.code is ExitCode.USAGE
+            for kind, name in [(Kind.SERVICE, "comptoir"), (Kind.PROFILE, "counter")]:
+                (await delete_object(client, kind, name)).unwrap()
+                assert await read_spec(client, kind, name) == {}
+
+    asyncio.run(run())
+
+
+def test_shows_what_belongs_together(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with open_platform() as (platform, url), open_client(url) as client:
+            await apply_files(client, [write_file(tmp_path, PROFILE, SERVICE)])
+            await client.create(Kind.VIEW, "comptoir", build_view())
+            balancer = {"address": "127.0.0.1:6001", "data_centre": "medina"}
+            await client.create(Kind.BALANCER, "balancer-1", balancer)
+            shown = await describe_object(client, Kind.PROFILE, "counter")
+            assert shown.unwrap().value["related"] == {"services": ["comptoir"]}
+            views = await get_objects(client, Kind.VIEW, None)
+            assert views.unwrap().tables[0].rows[0][:3] == ("comptoir", "7", "2")
+            status = (await show_status(client, ["127.0.0.1:1"])).unwrap().value
+            assert [row["active"] for row in status["services"]] == ["2"]
+            names = [row["name"] for row in status["data centres"]]
+            assert names == ["medina", "thyna"]
+            assert "error" in status["daemons"][0]
+            platform.faults.down = True
+            fault = (await get_objects(client, Kind.VIEW, None)).failure()
+            assert fault.code is ExitCode.UNAVAILABLE
+
+    asyncio.run(run())
