--- a/src/balsamstream/wire/control.py
+++ b/src/balsamstream/wire/control.py
@@ -16,6 +16,7 @@
     ClaimOutcome,
     ClaimReply,
     ConfigObject,
+    HeldFlow,
     HolderAsk,
     HolderReply,
     LoadReport,
@@ -25,12 +26,21 @@
     ReportReply,
     SealAsk,
     SealReply,
+    TakeoverAsk,
+    TakeoverPart,
 )
 
 from .error import MalformedMessage
 from .generated.control import ttypes
 from .number import to_signed, to_unsigned
-from .reference import read_ref, read_version, write_ref, write_version
+from .reference import (
+    read_address,
+    read_ref,
+    read_version,
+    write_address,
+    write_ref,
+    write_version,
+)
 
 if TYPE_CHECKING:
     from balsamstream.core.message import Message
@@ -53,6 +63,8 @@
     28: ttypes.SealReply,
     29: ttypes.ChangesAsk,
     30: ttypes.Changes,
+    31: ttypes.TakeoverAsk,
+    32: ttypes.TakeoverPart,
 }
 _TYPES: Final = {struct: number for number, struct in _STRUCTS.items()}
 
@@ -112,6 +124,8 @@
             return _write_flow_message(message)
         case ClaimAsk() | ClaimReply() | SealAsk() | SealReply():
             return _write_claim_message(message)
+        case TakeoverAsk() | TakeoverPart():
+            return _write_takeover(message)
         case LoadReport():
             return _write_load(message)
         case Ping(number):
@@ -197,6 +211,12 @@
             | ttypes.HolderReply()
         ):
             return _read_flow_message(struct)
+        case ttypes.TakeoverAsk():
+            return TakeoverAsk(
+                struct.service_name, read_ref(struct.successor), _read_after(struct)
+            )
+        case ttypes.TakeoverPart():
+            return _read_takeover_part(struct)
         case ttypes.LoadReport():
             return _read_load(struct)
         case ttypes.Ping():
@@ -278,6 +298,49 @@
             )
 
 
+def _write_takeover(message: TakeoverAsk | TakeoverPart) -> Structure:
+    match message:
+        case TakeoverAsk(service, successor, after):
+            return ttypes.TakeoverAsk(
+                service, write_ref(successor), _write_after(after)
+            )
+        case TakeoverPart(service, predecessor, after, left, share, flows):
+            return ttypes.TakeoverPart(
+                service,
+                write_ref(predecessor),
+                _write_after(after),
+                left,
+                share,
+                [_write_held_flow(flow) for flow in flows],
+            )
+
+
+def _read_takeover_part(struct: Structure) -> TakeoverPart:
+    return TakeoverPart(
+        struct.service_name,
+        read_ref(struct.predecessor),
+        _read_after(struct),
+        struct.left,
+        struct.share,
+        tuple(_read_held_flow(flow) for flow in struct.flows),
+    )
+
+
+def _write_held_flow(held: HeldFlow) -> Structure:
+    return ttypes.Flow(
+        to_signed(held.flow), write_address(held.caller), write_address(held.via)
+    )
+
+
+def _read_held_flow(struct: Structure) -> HeldFlow:
+    struct.validate()
+    return HeldFlow(
+        FlowKey(to_unsigned(struct.flow)),
+        read_address(struct.caller),
+        read_address(struct.via),
+    )
+
+
 def _write_after(after: int) -> int | None:
     return None if after < 0 else to_signed(after)
 
--- a/src/balsamstream/wire/control.thrift
+++ b/src/balsamstream/wire/control.thrift
@@ -5,6 +5,7 @@
 
 namespace py control
 
+struct Address { 1: required string ip, 2: required i32 port }
 struct Ref { 1: required string name, 2: required i64 incarnation }
 struct Version { 1: required i64 view, 2: required i64 data_centres }
 struct Claim { 1: required i64 request, 2: required Ref claimant }
@@ -44,6 +45,20 @@
   5: required i32 in_flight,
   6: required i32 in_flight_limit,
 }
+struct Flow { 1: required i64 flow, 2: required Address caller, 3: required Address via }
+struct TakeoverAsk {
+  1: required string service_name,
+  2: required Ref successor,
+  3: optional i64 after,
+}
+struct TakeoverPart {
+  1: required string service_name,
+  2: required Ref predecessor,
+  3: optional i64 after,
+  4: required i64 left,
+  5: required double share,
+  6: required list<Flow> flows,
+}
 struct Ping { 1: required i64 number }
 struct Pong { 1: required i64 number, 2: required Ref ref }
 struct ClaimAsk {
--- a/src/balsamstream/wire/reference.py
+++ b/src/balsamstream/wire/reference.py
@@ -1,10 +1,10 @@
-"""Names of processes and routing versions as thrift structures."""
+"""Names and addresses of processes and routing versions as thrift structures."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from balsamstream.core.identity import ProcessRef
+from balsamstream.core.identity import Address, ProcessRef
 from balsamstream.core.routing import RoutingVersion
 
 from .generated.control import ttypes
@@ -13,6 +13,17 @@
     from .structure import Structure
 
 
+def write_address(address: Address) -> Structure:
+    """Write an address."""
+    return ttypes.Address(address.ip, address.port)
+
+
+def read_address(struct: Structure) -> Address:
+    """Read an address."""
+    struct.validate()
+    return Address(struct.ip, struct.port)
+
+
 def write_ref(ref: ProcessRef) -> Structure:
     """Write the name of one run of a process."""
     return ttypes.Ref(ref.name, ref.incarnation)
@@ -35,4 +46,11 @@
     return RoutingVersion(struct.view, struct.data_centres)
 
 
-__all__ = ["read_ref", "read_version", "write_ref", "write_version"]
+__all__ = [
+    "read_address",
+    "read_ref",
+    "read_version",
+    "write_address",
+    "write_ref",
+    "write_version",
+]
--- a/tests/wire/messages.py
+++ b/tests/wire/messages.py
@@ -13,6 +13,7 @@
     ClaimOutcome,
     ClaimReply,
     ConfigObject,
+    HeldFlow,
     HolderAsk,
     HolderReply,
     LoadReport,
@@ -26,6 +27,8 @@
     RequestKind,
     SealAsk,
     SealReply,
+    TakeoverAsk,
+    TakeoverPart,
 )
 from balsamstream.core.routing import RoutingVersion
 from balsamstream.core.verdict import MayHaveRun, NotRun
@@ -79,6 +82,16 @@
         st.booleans(),
         st.lists(FLOWS, max_size=9).map(tuple),
     ),
+    st.builds(TakeoverAsk, NAMES, REFS, AFTERS),
+    st.builds(
+        TakeoverPart,
+        NAMES,
+        REFS,
+        AFTERS,
+        BYTES_31,
+        SECONDS,
+        st.lists(st.builds(HeldFlow, FLOWS, ADDRESSES, ADDRESSES)).map(tuple),
+    ),
     st.builds(HolderAsk, NAMES, FLOWS),
     st.builds(HolderReply, NAMES, FLOWS, REFS, st.none() | NAMES),
     st.builds(LoadReport, NAMES, NAMES, BYTES_31, BYTES_31, BYTES_31, BYTES_31),
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -52,7 +52,7 @@
 
 
 @settings(derandomize=True, max_examples=2000, deadline=None)
-@given(st.integers(0, 32), st.binary(max_size=120))
+@given(st.integers(0, 34), st.binary(max_size=120))
 def test_any_bytes_raise_only_the_typed_error(first: int, rest: bytes) -> None:
     decode_or_refuse(rest)
     decode_or_refuse(bytes((first,)) + rest)
@@ -70,7 +70,7 @@
     decode_or_refuse(bytes(encoded[:place]))
 
 
-@pytest.mark.parametrize("first", range(18, 31))
+@pytest.mark.parametrize("first", range(18, 33))
 @pytest.mark.parametrize(
     "body",
     [
