Read and answer CoAP at the edge

The deadline travels in option 65000 and not 65001: an odd number is a critical option (RFC 7252, section 5.4.1), which a server that does not know it must refuse.

--- /dev/null
+++ b/src/balsamstream/edge/coap.py
@@ -0,0 +1,130 @@
+"""CoAP at the edge: what may be repeated, refusals, deadlines."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Final
+
+import xxhash
+
+from balsamstream.config.objects import Requests
+from balsamstream.core.identity import NO_REQUEST, RequestKey
+from balsamstream.core.message import RequestKind
+from balsamstream.core.verdict import MayHaveRun, NotRun
+
+from .coap_matcher import CoapMatcher
+from .coap_message import (
+    FIXED_BYTES,
+    MessageType,
+    OptionError,
+    build_message,
+    build_option,
+    encode_uint,
+    iterate_options,
+    parse_head,
+)
+from .protocol import AnswerMatcher, Classified, Protocol
+
+if TYPE_CHECKING:
+    from balsamstream.core.identity import FlowKey
+
+DEADLINE_OPTION: Final = 65_000
+"""Experimental and, as an even number, elective: unknown to a server, it is ignored."""
+
+MAX_AGE_OPTION: Final = 14
+SERVICE_UNAVAILABLE: Final = 0xA3
+GATEWAY_TIMEOUT: Final = 0xA4
+MOST_MAX_AGE_S: Final = 3_600
+
+GET: Final = 1
+PUT: Final = 3
+DELETE: Final = 4
+FETCH: Final = 5
+IPATCH: Final = 7
+REPEATABLE_METHODS: Final = frozenset({GET, PUT, DELETE, FETCH, IPATCH})
+"""Idempotent by RFC 7252, section 5.1, and RFC 8132; unknown methods may not be."""
+
+_NO_REQUEST: Final = Classified(RequestKind.NONE, NO_REQUEST)
+
+
+class CoapProtocol(Protocol):
+    """Rules of CoAP over UDP (RFC 7252)."""
+
+    def classify(
+        self, flow: FlowKey, datagram: bytes, requests: Requests
+    ) -> Classified | None:
+        """Tell whether a datagram holds a request and whether it may be repeated.
+
+        A retransmission is the same bytes again, so the key is a hash of flow and
+        datagram.
+        """
+        head = parse_head(datagram)
+        if head is None:
+            return None
+        if not head.is_request:
+            return _NO_REQUEST
+        key = xxhash.xxh3_64_intdigest(datagram, flow) or 1
+        return Classified(_judge_method(head.code, requests), RequestKey(key))
+
+    def build_refusal(self, head: bytes, verdict: NotRun | MayHaveRun) -> bytes | None:
+        """Build 5.03 with Max-Age for a request that did not run, 5.04 for others."""
+        parsed = parse_head(head)
+        if parsed is None or not parsed.is_request:
+            return None
+        confirmable = parsed.type is MessageType.CON
+        kind = MessageType.ACK if confirmable else MessageType.NON
+        match verdict:
+            case NotRun(retry_after_s):
+                code = SERVICE_UNAVAILABLE
+                option = _build_max_age(retry_after_s)
+            case MayHaveRun():
+                code = GATEWAY_TIMEOUT
+                option = b""
+        return build_message(kind, code, parsed.message_id, parsed.token) + option
+
+    def add_deadline(self, datagram: bytes, deadline_ms: int) -> bytes:
+        """Append the deadline after the last option.
+
+        A malformed datagram, and one with an option above the deadline's, stay as
+        they are.
+        """
+        head = parse_head(datagram)
+        if head is None or not head.is_request:
+            return datagram
+        last = 0
+        end = FIXED_BYTES + len(head.token)
+        try:
+            for option in iterate_options(datagram, end):
+                last = option.number
+                end = option.end
+        except OptionError:
+            return datagram
+        if last >= DEADLINE_OPTION:
+            return datagram
+        value = encode_uint(max(0, deadline_ms))
+        added = build_option(DEADLINE_OPTION - last, value)
+        return datagram[:end] + added + datagram[end:]
+
+    def create_matcher(self) -> AnswerMatcher:
+        """Create a matcher by token and Message-ID."""
+        return CoapMatcher()
+
+
+def _judge_method(code: int, requests: Requests) -> RequestKind:
+    match requests:
+        case Requests.REPEATABLE:
+            return RequestKind.REPEATABLE
+        case Requests.NON_REPEATABLE:
+            return RequestKind.NON_REPEATABLE
+        case Requests.BY_METHOD:
+            if code in REPEATABLE_METHODS:
+                return RequestKind.REPEATABLE
+            return RequestKind.NON_REPEATABLE
+
+
+def _build_max_age(retry_after_s: float) -> bytes:
+    seconds = min(MOST_MAX_AGE_S, max(1, math.ceil(retry_after_s)))
+    return build_option(MAX_AGE_OPTION, encode_uint(seconds))
+
+
+__all__ = ["DEADLINE_OPTION", "MAX_AGE_OPTION", "CoapProtocol"]
--- /dev/null
+++ b/src/balsamstream/edge/coap_message.py
@@ -0,0 +1,182 @@
+"""The parts of a CoAP message that the packet path reads (RFC 7252, section 3)."""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+FIXED_BYTES: Final = 4
+MOST_TOKEN_BYTES: Final = 8
+PAYLOAD_MARKER: Final = 0xFF
+EMPTY_CODE: Final = 0
+LAST_METHOD_CODE: Final = 31
+FIRST_RESPONSE_CODE: Final = 64
+OBSERVE_OPTION: Final = 6
+
+_VERSION: Final = 1
+_FIXED: Final = struct.Struct("!BBH")
+_ONE_BYTE_MORE: Final = 13
+_TWO_BYTES_MORE: Final = 14
+
+
+class MessageType(IntEnum):
+    """Type of a message."""
+
+    CON = 0
+    NON = 1
+    ACK = 2
+    RST = 3
+
+
+_TYPES: Final = tuple(MessageType)
+
+
+@dataclass(slots=True)
+class Head:
+    """Fixed header and token of a message.
+
+    Parameters
+    ----------
+    type : MessageType
+        Type of the message.
+    code : int
+        Method, response code or ``EMPTY_CODE``.
+    message_id : int
+        Message-ID.
+    token : bytes
+        Token, 0 to 8 bytes.
+    """
+
+    type: MessageType
+    code: int
+    message_id: int
+    token: bytes
+
+    @property
+    def is_request(self) -> bool:
+        """Whether the message is a request."""
+        return EMPTY_CODE < self.code <= LAST_METHOD_CODE and self.type <= 1
+
+    @property
+    def is_response(self) -> bool:
+        """Whether the message is a response."""
+        return self.code >= FIRST_RESPONSE_CODE
+
+
+@dataclass(frozen=True, slots=True)
+class Option:
+    """One option.
+
+    Parameters
+    ----------
+    number : int
+        Option number.
+    value : bytes
+        Its value.
+    end : int
+        Offset of the byte after the option.
+    """
+
+    number: int
+    value: bytes
+    end: int
+
+
+class OptionError(ValueError):
+    """The options of a message are malformed."""
+
+
+def parse_head(datagram: bytes) -> Head | None:
+    """Read fixed header and token, or nothing where they are malformed."""
+    if len(datagram) < FIXED_BYTES:
+        return None
+    first, code, message_id = _FIXED.unpack_from(datagram)
+    token_bytes = first & 0x0F
+    end = FIXED_BYTES + token_bytes
+    if first >> 6 != _VERSION or token_bytes > MOST_TOKEN_BYTES:
+        return None
+    if len(datagram) < end or (code == EMPTY_CODE and len(datagram) > FIXED_BYTES):
+        return None
+    token = datagram[FIXED_BYTES:end]
+    return Head(_TYPES[(first >> 4) & 3], code, message_id, token)
+
+
+def build_message(
+    kind: MessageType, code: int, message_id: int, token: bytes = b""
+) -> bytes:
+    """Build a message without options and payload."""
+    first = _VERSION << 6 | kind << 4 | len(token)
+    return _FIXED.pack(first, code, message_id) + token
+
+
+def build_option(delta: int, value: bytes) -> bytes:
+    """Build an option that follows one whose number is lower by ``delta``."""
+    delta_nibble, delta_more = _split_number(delta)
+    length_nibble, length_more = _split_number(len(value))
+    first = bytes((delta_nibble << 4 | length_nibble,))
+    return first + delta_more + length_more + value
+
+
+def iterate_options(datagram: bytes, offset: int) -> Iterator[Option]:
+    """Read the options from an offset up to the payload.
+
+    Raises
+    ------
+    OptionError
+        If an option is cut short or uses a reserved nibble.
+    """
+    number = 0
+    while offset < len(datagram) and datagram[offset] != PAYLOAD_MARKER:
+        first = datagram[offset]
+        delta, offset = _read_number(datagram, first >> 4, offset + 1)
+        length, offset = _read_number(datagram, first & 0x0F, offset)
+        number += delta
+        end = offset + length
+        if end > len(datagram):
+            raise OptionError("cut short")
+        yield Option(number, datagram[offset:end], end)
+        offset = end
+
+
+def encode_uint(number: int) -> bytes:
+    """Write a number as an option's value, without leading zeros."""
+    return number.to_bytes((number.bit_length() + 7) // 8, "big")
+
+
+def _split_number(number: int) -> tuple[int, bytes]:
+    if number < _ONE_BYTE_MORE:
+        return number, b""
+    if number < 269:
+        return _ONE_BYTE_MORE, bytes((number - 13,))
+    return _TWO_BYTES_MORE, (number - 269).to_bytes(2, "big")
+
+
+def _read_number(datagram: bytes, nibble: int, offset: int) -> tuple[int, int]:
+    if nibble < _ONE_BYTE_MORE:
+        return nibble, offset
+    size = nibble - 12
+    if nibble > _TWO_BYTES_MORE or offset + size > len(datagram):
+        raise OptionError("cut short or reserved")
+    more = int.from_bytes(datagram[offset : offset + size], "big")
+    return more + (13 if size == 1 else 269), offset + size
+
+
+__all__ = [
+    "FIXED_BYTES",
+    "MOST_TOKEN_BYTES",
+    "OBSERVE_OPTION",
+    "Head",
+    "MessageType",
+    "Option",
+    "OptionError",
+    "build_message",
+    "build_option",
+    "encode_uint",
+    "iterate_options",
+    "parse_head",
+]
--- /dev/null
+++ b/tests/edge/test_proxy_header.py
@@ -0,0 +1,63 @@
+"""PROXY protocol headers."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from balsamstream.core.identity import Address
+from balsamstream.edge.proxy_header import (
+    HEADER_BYTES,
+    Endpoints,
+    ProxyHeaderError,
+    encode_header,
+    split_datagram,
+)
+
+CALLER = Address("192.0.2.7", 40_000)
+SERVICE = Address("198.51.100.1", 5683)
+
+
+def test_a_header_is_as_the_specification_says() -> None:
+    assert encode_header(CALLER, SERVICE) == (
+        b"\x0d\x0a\x0d\x0a\x00\x0d\x0a\x51\x55\x49\x54\x0a\x21\x12\x00\x0c"
+        b"\xc0\x00\x02\x07\xc6\x33\x64\x01\x9c\x40\x16\x33"
+    )
+
+
+def test_a_datagram_is_split_into_endpoints_and_payload() -> None:
+    datagram = encode_header(CALLER, SERVICE) + b"payload"
+    assert split_datagram(datagram) == (Endpoints(CALLER, SERVICE), b"payload")
+
+
+def test_further_fields_are_skipped() -> None:
+    header = bytearray(encode_header(CALLER, SERVICE))
+    header[15] += 4
+    datagram = bytes(header) + b"\x04\x00\x01\x00payload"
+    assert split_datagram(datagram) == (Endpoints(CALLER, SERVICE), b"payload")
+
+
+@pytest.mark.parametrize("size", range(HEADER_BYTES))
+def test_cut_headers_are_refused(size: int) -> None:
+    with pytest.raises(ProxyHeaderError):
+        split_datagram(encode_header(CALLER, SERVICE)[:size])
+
+
+@pytest.mark.parametrize(("place", "value"), [(0, 1), (12, 0x20), (13, 0x11), (15, 11)])
+def test_other_headers_are_refused(place: int, value: int) -> None:
+    header = bytearray(encode_header(CALLER, SERVICE))
+    header[place] = value
+    with pytest.raises(ProxyHeaderError):
+        split_datagram(bytes(header) + b"payload")
+
+
+@settings(derandomize=True, max_examples=500, deadline=None)
+@given(st.binary(max_size=60), st.booleans())
+def test_any_bytes_raise_only_the_typed_error(datagram: bytes, signed: bool) -> None:
+    if signed:
+        datagram = encode_header(CALLER, SERVICE)[:14] + datagram
+    try:
+        split_datagram(datagram)
+    except ProxyHeaderError:
+        return
