Let the hosts of a service watch each other

Cause: every balancer that missed a host's answers asked for the same change of the view; with 19,000 balancers a lost data centre would ask for far more writes than the platform takes. The load reports that a service's hosts exchange anyway serve as heartbeats, and the first in rank writes. Ruled out: designated balancers, which may not have any traffic to the host. Scenes of process tests are written and wait for the daemon.

--- a/src/balsamstream/core/agent.py
+++ b/src/balsamstream/core/agent.py
@@ -37,6 +37,7 @@
     TakeoverAsk,
     TakeoverPart,
 )
+from .neighbours import Neighbours
 from .ownership import Ownership, Place
 from .single_run import SingleRun
 from .state import AgentConfig, AgentState
@@ -78,6 +79,7 @@
         self.ownership = Ownership(self.state)
         self.single_run = SingleRun(self.state)
         self.membership = Membership(self.state)
+        self.neighbours = Neighbours(self.state)
         self.succession = Succession(self.state)
         self.retirement = Retirement(self.state)
         self.voter = VoterRole(config.service, config.ref)
@@ -170,6 +172,7 @@
 
     def notice_pause(self, gap_s: float, now: float) -> list[Action]:
         """Handle a pause of this process: what others decided meanwhile is unknown."""
+        self.state.loads.excuse(now)
         return self.ownership.start_sync(now)
 
     def drain(self, now: float) -> list[Action]:
@@ -189,6 +192,7 @@
         actions += self.succession.tick(now)
         actions += self.membership.tick(now)
         self._is_replaced = self.retirement.is_done(now) and not self.voter.is_needed
+        actions += self.neighbours.tick(now)
         actions += self.single_run.tick(now)
         placements, asked = self.ownership.tick(now)
         actions += self._carry_out(placements, now) + asked
@@ -405,6 +409,8 @@
             # All hosts of a returning data centre begin at once, and none is warm.
             state.admission.restart()
         view = state.routing.view
+        others = {member.ref.name for member in state.routing.reachable}
+        state.loads.expect(others - {state.config.ref.name}, now)
         self.succession.find_predecessor(now)
         self.voter.adopt(view, now)
         actions += self.single_run.adopt_view(now)
--- a/src/balsamstream/core/balancer.py
+++ b/src/balsamstream/core/balancer.py
@@ -4,7 +4,7 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 from .catalogue import Catalogue, number_service
 from .claim import VoterRole
@@ -33,7 +33,7 @@
 from .refusal import RefusalRounds
 from .routing import Routing
 from .state import HEAD_BYTES
-from .view import MemberState, SetState, View
+from .view import View
 
 if TYPE_CHECKING:
     from random import Random
@@ -44,11 +44,6 @@
     from .routing import RoutingVersion
     from .view import Member
 
-DOWN_AFTER_S: Final = 3.0
-DOWN_SPREAD_S: Final = 2.0
-DOWN_REPEAT_LEAST_S: Final = 5.0
-DOWN_REPEAT_MOST_S: Final = 300.0
-
 
 @dataclass(frozen=True, slots=True)
 class BalancerConfig:
@@ -75,12 +70,6 @@
     peers: tuple[Address, ...] = ()
 
 
-@dataclass(slots=True)
-class _DownMark:
-    next_edit: float
-    pause_s: float
-
-
 class BalancerDecisions:
     """Passes callers' datagrams to hosts and answers back; keeps no truth.
 
@@ -98,12 +87,10 @@
         self.distribution = Distribution(config, self.catalogue, random)
         self.liveness = Liveness()
         self.refusals = RefusalRounds(random)
-        self._random = random
         self._hints: OrderedDict[FlowKey, str] = OrderedDict()
         self._routings: dict[int, Routing] = {}
         self._hosts: dict[Address, tuple[int, ProcessRef]] = {}
         self._voters: dict[str, VoterRole] = {}
-        self._down_marks: dict[ProcessRef, _DownMark] = {}
 
     @property
     def should_watch(self) -> bool:
@@ -204,7 +191,6 @@
         actions: list[Action] = list(self.liveness.tick(now))
         actions += self.refusals.tick(now)
         actions += self.distribution.tick(now)
-        actions += self._mark_down(now)
         for service, role in self._voters.items():
             actions += role.tick(now)
             trim = role.plan_trim(now)
@@ -310,43 +296,6 @@
             return []
         return list(self.distribution.ask_at_once(sender, routing.view.service, now))
 
-    # --- membership ----------------------------------------------------------------
-
-    def _mark_down(self, now: float) -> list[Action]:
-        actions: list[Action] = []
-        for address in self.liveness.list_suspects(now, DOWN_AFTER_S):
-            known = self._hosts.get(address)
-            if known is None:
-                self.liveness.forget(address)
-                continue
-            actions += self._mark_host_down(known[0], known[1], now)
-        return actions
-
-    def _mark_host_down(self, number: int, ref: ProcessRef, now: float) -> list[Action]:
-        routing = self._routings.get(number)
-        if routing is None or not self._is_minority_silent(routing):
-            return []
-        member = routing.find_reachable(ref.name)
-        if member is None or member.ref != ref:
-            return []
-        mark = self._down_marks.get(ref)
-        if mark is None:
-            delay = self._random.uniform(0.0, DOWN_SPREAD_S)
-            mark = _DownMark(now + delay, DOWN_REPEAT_LEAST_S)
-            self._down_marks[ref] = mark
-        if now < mark.next_edit:
-            return []
-        mark.next_edit = now + mark.pause_s
-        mark.pause_s = min(DOWN_REPEAT_MOST_S, 2 * mark.pause_s)
-        edit = SetState(ref, MemberState.DOWN)
-        return [EditView(routing.view.service, edit), Count("host_marked_down")]
-
-    def _is_minority_silent(self, routing: Routing) -> bool:
-        silent = sum(
-            self.liveness.is_suspect(member.address) for member in routing.reachable
-        )
-        return 2 * silent <= len(routing.reachable)
-
     def _find_voter(self, service: str, now: float) -> VoterRole | None:
         """Return the role in a service whose view may list this balancer."""
         role = self._voters.get(service)
--- a/src/balsamstream/core/liveness.py
+++ b/src/balsamstream/core/liveness.py
@@ -50,24 +50,10 @@
         """Tell whether a host is passed over."""
         return address in self._suspects or address in self._probation
 
-    def list_suspects(self, now: float, silent_s: float) -> list[Address]:
-        """Return the hosts suspected for at least ``silent_s`` seconds."""
-        return [
-            address
-            for address, since in self._suspects.items()
-            if now - since >= silent_s
-        ]
-
     def forget_waits(self) -> None:
         """Blame nobody for a time in which this process did not run."""
         self._waits.clear()
 
-    def forget(self, address: Address) -> None:
-        """Drop what is known of a host that is no member any more."""
-        self._waits.pop(address, None)
-        self._suspects.pop(address, None)
-        self._probation.pop(address, None)
-
     def tick(self, now: float) -> list[Send]:
         """Ping hosts whose sign of life is due, and suspect the silent ones."""
         for address, until in list(self._probation.items()):
--- a/src/balsamstream/core/load.py
+++ b/src/balsamstream/core/load.py
@@ -16,7 +16,7 @@
 
 @dataclass(slots=True)
 class _PeerLoad:
-    report: LoadReport
+    report: LoadReport | None
     heard: float
     placed: int
 
@@ -27,6 +27,20 @@
     def __init__(self) -> None:
         self._peers: dict[str, _PeerLoad] = {}
 
+    def expect(self, hosts: set[str], now: float) -> None:
+        """Begin to wait for reports of hosts that are new, and forget all others."""
+        for host in list(self._peers):
+            if host not in hosts:
+                del self._peers[host]
+        for host in hosts:
+            if host not in self._peers:
+                self._peers[host] = _PeerLoad(None, now, 0)
+
+    def excuse(self, now: float) -> None:
+        """Blame no host for a time in which this process did not run."""
+        for peer in self._peers.values():
+            peer.heard = now
+
     def take(self, report: LoadReport, now: float) -> None:
         """Replace a host's report."""
         self._peers[report.host] = _PeerLoad(report, now, 0)
@@ -38,7 +52,7 @@
             peer.placed += 1
 
     def is_silent(self, host: str, hosts: int, now: float) -> bool:
-        """Tell whether a host that reported before has stopped.
+        """Tell whether a host that is expected to report does not.
 
         Parameters
         ----------
@@ -55,11 +69,14 @@
         peer = self._peers.get(host)
         if peer is None or now - peer.heard > REPORT_LIFE_S:
             return None
+        report = peer.report
+        if report is None:
+            return None
         return estimate_load(
-            peer.report.flows + peer.placed + 1,
-            peer.report.flow_limit,
-            peer.report.in_flight + peer.placed + 1,
-            peer.report.in_flight_limit,
+            report.flows + peer.placed + 1,
+            report.flow_limit,
+            report.in_flight + peer.placed + 1,
+            report.in_flight_limit,
         )
 
 
--- a/tests/core/network.py
+++ b/tests/core/network.py
@@ -12,7 +12,13 @@
 
 from balsamstream.core.agent import AgentConfig, AgentDecisions
 from balsamstream.core.balancer import BalancerConfig, BalancerDecisions
-from balsamstream.core.catalogue import list_spare_voters, read_view, write_view
+from balsamstream.core.catalogue import (
+    BalancerEntry,
+    Catalogue,
+    list_spare_voters,
+    read_view,
+    write_view,
+)
 from balsamstream.core.identity import Address, FlowKey, ProcessRef, RequestKey
 from balsamstream.core.message import (
     Changes,
@@ -89,11 +95,17 @@
         view = View(action.service, 0)
         if held is not None and held.spec is not None:
             view = read_view(action.service, held.spec)
-        spares = list_spare_voters(())
+        spares = list_spare_voters(self.read_balancers())
         changed = edit_view(view, action.edit, spares)
         if changed is not view:
             self.put("View", action.service, write_view(changed))
 
+    def read_balancers(self) -> tuple[BalancerEntry, ...]:
+        """Return the balancers that announced themselves."""
+        catalogue = Catalogue()
+        catalogue.accept(self.list_changes())
+        return catalogue.balancers
+
     def list_changes(self) -> Changes:
         """Return everything as a watch would give it."""
         objects = sorted(self.objects.values(), key=lambda found: found.version)
@@ -167,6 +179,12 @@
         )
         balancer = BalancerDecisions(config, random.Random(self._incarnation))
         self.balancers[name] = balancer
+        spec = {
+            "incarnation": self._incarnation,
+            "address": str(address),
+            "data_centre": data_centre,
+        }
+        self.platform.put("Balancer", name, spec)
         self.processes[address] = balancer
         return balancer
 
--- /dev/null
+++ b/tests/process/test_planned_changes.py
@@ -0,0 +1,78 @@
+"""Planned changes under open flows and requests in flight."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from standins.record import Changes, Drain, Removal, Window
+from tests.process.scene import expect_sound, open_scene
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+MOST_SECONDS_TO_STOP = 5.0
+
+
+def test_boards_and_orders_survive_the_replacement_of_every_balancer(
+    tmp_path: Path,
+) -> None:
+    with open_scene(tmp_path) as scene:
+        fleet = scene.fleet
+        for number in range(3):
+            fleet.start_balancer(f"new-{number}", "medina")
+            fleet.wait_daemon(f"new-{number}")
+            fleet.connect_balancer(f"new-{number}")
+            fleet.disconnect_balancer(f"balancer-{number}")
+            assert fleet.processes.stop(f"balancer-{number}", 10.0) == 0
+            time.sleep(1.0)
+        time.sleep(3.0)
+        figures = scene.finish()
+    expect_sound(figures)
+    assert figures.lost == 0
+    assert figures.broken_flows == 0
+
+
+def test_drained_host_keeps_its_boards_and_gets_no_new_flow(tmp_path: Path) -> None:
+    with open_scene(tmp_path) as scene:
+        ordered_at = time.time()
+        scene.fleet.operate("host", "drain", "counter-1")
+        time.sleep(8.0)
+        scene.changes = Changes(drains=(Drain("counter-1", ordered_at),))
+        figures = scene.finish()
+    expect_sound(figures)
+    assert figures.lost == 0
+    assert figures.broken_flows == 0
+    assert figures.last_new_flow_after_drain_s <= MOST_SECONDS_TO_STOP
+
+
+def test_data_centre_taken_out_gets_no_packets_and_returns_cold(
+    tmp_path: Path,
+) -> None:
+    with open_scene(tmp_path) as scene:
+        fleet = scene.fleet
+        fleet.control_platform({"slow_s": 0.3})
+        begun = time.time()
+        fleet.operate("datacentre", "out", "thyna")
+        time.sleep(9.0)
+        window = Window(begun, time.time())
+        fleet.operate("datacentre", "in", "thyna")
+        time.sleep(4.0)
+        hosts = fleet.plan.list_hosts_in("thyna")
+        scene.changes = Changes(removals=(Removal("thyna", hosts, window),))
+        figures = scene.finish()
+    expect_sound(figures)
+    assert figures.broken_unexcused == 0
+    assert figures.last_packet_after_removal_s <= MOST_SECONDS_TO_STOP
+    assert figures.overloads == 0
+
+
+def test_agent_stopped_gracefully_cuts_no_request(tmp_path: Path) -> None:
+    with open_scene(tmp_path, profile={"drain_s": 4.0}) as scene:
+        status = scene.fleet.processes.stop("fitting-1", 20.0)
+        time.sleep(2.0)
+        figures = scene.finish()
+    assert status == 0
+    expect_sound(figures)
+    assert figures.lost == 0
+    assert figures.unknown == 0
--- /dev/null
+++ b/tests/process/test_platform.py
@@ -0,0 +1,95 @@
+"""The platform down, slow or silent, and operators against each other."""
+
+from __future__ import annotations
+
+import json
+import time
+import urllib.request
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from standins.fleet import OperatorError
+from tests.process.scene import COUNTER, expect_sound, open_scene
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from tests.process.scene import Scene
+
+MOST_SECONDS_IN_FORCE = 6.0
+
+
+def read_status(scene: Scene, name: str) -> dict[str, Any]:
+    url = f"http://{scene.fleet.daemons[name].status}/status"
+    with urllib.request.urlopen(url, timeout=2.0) as answer:
+        status: dict[str, Any] = json.load(answer)
+    return status
+
+
+def test_service_goes_on_while_the_platform_is_down(tmp_path: Path) -> None:
+    with open_scene(tmp_path) as scene:
+        fleet = scene.fleet
+        fleet.control_platform({"down": True})
+        time.sleep(1.0)
+        fleet.processes.kill("balancer-1")
+        fleet.start_balancer("balancer-1", "medina")
+        fleet.wait_daemon("balancer-1")
+        fleet.processes.kill("counter-2")
+        time.sleep(9.0)
+        fleet.control_platform({"down": False})
+        time.sleep(3.0)
+        figures = scene.finish()
+    expect_sound(figures)
+    assert figures.answered > 100
+
+
+def test_change_is_in_force_everywhere_in_time_though_answers_are_lost(
+    tmp_path: Path,
+) -> None:
+    with open_scene(tmp_path) as scene:
+        scene.fleet.control_platform({"lose_answers": 1})
+        begun = time.monotonic()
+        scene.fleet.operate("datacentre", "out", "thyna")
+        waiting = set(scene.fleet.daemons)
+        while waiting and time.monotonic() - begun < MOST_SECONDS_IN_FORCE:
+            waiting = {
+                name for name in waiting if read_status(scene, name)["out"] != ["thyna"]
+            }
+            time.sleep(0.1)
+        expect_sound(scene.finish())
+    assert waiting == set()
+
+
+def test_operators_with_conflicting_changes_leave_one_whole_configuration(
+    tmp_path: Path,
+) -> None:
+    with open_scene(tmp_path) as scene:
+        fleet = scene.fleet
+
+        def take(state: str) -> bool:
+            try:
+                fleet.operate("datacentre", state, "thyna")
+            except OperatorError:
+                return False
+            return True
+
+        with ThreadPoolExecutor(2) as pool:
+            results = list(pool.map(take, ["out", "in", "out", "in"]))
+        assert any(results)
+        time.sleep(MOST_SECONDS_IN_FORCE)
+        outs = {str(read_status(scene, name)["out"]) for name in fleet.daemons}
+        expect_sound(scene.finish())
+    assert len(outs) == 1
+
+
+def test_wrong_configuration_changes_nothing(tmp_path: Path) -> None:
+    with open_scene(tmp_path) as scene:
+        fleet = scene.fleet
+        path = fleet.write_configuration({COUNTER: {"deadline_ms": -1}})
+        before = fleet.operate("--output", "json", "get", "profiles")
+        with pytest.raises(OperatorError, match="deadline_ms"):
+            fleet.operate("apply", str(path))
+        assert fleet.operate("--output", "json", "get", "profiles") == before
+        expect_sound(scene.finish())
