Lower a host's limits when its backend server sheds load

Cause: a refusal by the backend server counted as an answer and raised the limits. Ruled out: counting it as a failure, which would take shedding for a restart.

--- a/src/balsamstream/core/admission.py
+++ b/src/balsamstream/core/admission.py
@@ -19,6 +19,9 @@
 FAILURES_TO_RESTART: Final = 6
 """Failures in a row that count as an unannounced restart."""
 
+SHARE_AFTER_REFUSAL: Final = 0.8
+"""What is left of the limits after an interval in which refusals came back."""
+
 RESERVE_PER_CLASS: Final = 0.1
 """Share of the limit kept for each class of work that is shed later."""
 
@@ -68,6 +71,7 @@
         self._failures = 0
         self._answers = 0
         self._slow = 0
+        self._refusals = 0
         self._ticked = now
 
     @property
@@ -153,6 +157,10 @@
             self.health = Health.FAILING
             self.share = max(initial, self.share / 2)
 
+    def count_refusal(self) -> None:
+        """Note that the backend server itself refused a request as too much."""
+        self._refusals += 1
+
     def restart(self) -> None:
         """Begin a cold start: the backend server was seen to have restarted."""
         self.share = self.profile.cold_start.initial_share
@@ -170,9 +178,14 @@
         """Raise the limits where the last interval's answers allow it."""
         elapsed = max(0.0, now - self._ticked)
         self._ticked = now
-        answers, slow = self._answers, self._slow
+        answers, slow, refusals = self._answers, self._slow, self._refusals
         self._answers = 0
         self._slow = 0
+        self._refusals = 0
+        if refusals > 0:
+            initial = self.profile.cold_start.initial_share
+            self.share = max(initial, self.share * SHARE_AFTER_REFUSAL)
+            return
         if answers == 0 or self._failures > 0 or self.share >= 1.0:
             return
         if slow > answers / 2:
--- a/src/balsamstream/core/agent.py
+++ b/src/balsamstream/core/agent.py
@@ -136,7 +136,12 @@
                 return [Count("unexpected_message")]
 
     def take_answer(
-        self, flow: FlowKey, request: RequestKey, payload: bytes, now: float
+        self,
+        flow: FlowKey,
+        request: RequestKey,
+        payload: bytes,
+        now: float,
+        is_refusal: bool = False,
     ) -> list[Action]:
         """Send a datagram of the backend server to its flow's caller.
 
@@ -144,6 +149,8 @@
         ----------
         request : RequestKey
             The request that the datagram answers, or ``NO_REQUEST``.
+        is_refusal : bool
+            The backend server refused the request because it is loaded.
         """
         held = self.state.flows.keep(flow, now)
         if held is None:
@@ -156,6 +163,8 @@
             if packet is not None:
                 via = packet.via
             self._finish(flow, request, payload, now)
+            if is_refusal and self.state.admission is not None:
+                self.state.admission.count_refusal()
         else:
             via = self._choose_return(via)
         state = self.state
