--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -14,7 +14,6 @@
 from pathlib import Path  # noqa: TC003 - read by cyclopts when the program runs
 from typing import TYPE_CHECKING, Annotated, Any, Final
 
-from aiocoap import Message
 from aiocoap.numbers import codes
 from aiocoap.numbers.types import Type
 from aiohttp import web
@@ -22,36 +21,29 @@
 
 from .addresses import LOOPBACK, Address, format_address, parse_address
 from .answers import (
-    JSON_FORMAT,
     Place,
     build_content,
-    describe,
     find_service,
     identify_request,
 )
 from .capacity import Capacity, Limits
 from .coap import (
-    MessageIds,
     build_answer,
     build_empty,
     decode_message,
     read_deadline_ms,
-    read_query,
 )
-from .content import COMPTOIR
 from .events import (
     ColdWork,
     Expired,
     Misdirected,
-    ObservationEnded,
-    ObservationStarted,
     Overloaded,
     PacketsReceived,
     RecordFile,
     Run,
     Started,
 )
-from .observers import GROUP_INTERVAL_S, MOST_UNCONFIRMED, Observer, Observers
+from .notifier import Notifier
 from .serving import (
     drain_socket,
     open_datagram_socket,
@@ -64,6 +56,8 @@
 if TYPE_CHECKING:
     import socket
 
+    from aiocoap import Message
+
 
 BOARD_PATH: Final = "stock"
 REMEMBERED_REQUESTS: Final = 20_000
@@ -148,8 +142,8 @@
         self._random = random.Random(seed)
         self._capacity = Capacity(limits, time.monotonic())
         self._incarnation = secrets.token_hex(4)
-        self._ids = MessageIds(secrets.randbelow(1 << 16))
-        self._observers = Observers()
+        place = Place(host, self._incarnation)
+        self._notifier = Notifier(self._send, record, place)
         self._answers: OrderedDict[tuple[Address, int], bytes | None] = OrderedDict()
         self._waiting: deque[Work] = deque()
         self._working = 0
@@ -172,7 +166,7 @@
         self._socket = open_datagram_socket(address)
         loop.add_reader(self._socket, drain_socket, self._socket, self._take_datagram)
         self._tasks = [
-            loop.create_task(self._notify_observers()),
+            loop.create_task(self._notifier.run()),
             loop.create_task(self._record_packets()),
         ]
         self._record_start(announced=True)
@@ -205,7 +199,7 @@
         now = time.monotonic()
         bearable = self._capacity.compute_bearable(now)
         load = self._capacity.in_flight / bearable
-        health = Health(now, not self._fallen, load, len(self._observers))
+        health = Health(now, not self._fallen, load, len(self._notifier))
         self._history.append(health)
         if self.faults.lie:
             return Health(now, True, 0.0, 0)
@@ -231,13 +225,12 @@
         )
 
     def _forget(self, reason: str) -> None:
-        for observer in self._observers:
-            self._record_observation_end(observer, reason)
-        self._observers.clear()
+        self._notifier.forget(reason)
         self._answers.clear()
         self._waiting.clear()
         self._working = 0
         self._incarnation = secrets.token_hex(4)
+        self._notifier.place = self._place
         self._capacity.start_cold(time.monotonic())
 
     def _take_datagram(self, datagram: bytes, endpoint: Address) -> None:
@@ -254,16 +247,7 @@
         if message.mtype == Type.CON:
             self._send(build_empty(Type.RST, message.mid), endpoint)
             return
-        self._take_confirmation(message, endpoint)
-
-    def _take_confirmation(self, message: Message, endpoint: Address) -> None:
-        observer = self._observers.find_notified(endpoint, message.mid)
-        if observer is None:
-            return
-        if message.mtype == Type.ACK:
-            observer.unconfirmed = 0
-            return
-        self._end_observation(observer, "reset")
+        self._notifier.take_confirmation(message, endpoint)
 
     def _take_request(self, message: Message, endpoint: Address) -> None:
         key = (endpoint, message.mid)
@@ -366,23 +350,9 @@
         message = work.message
         answer = build_content(message, self._place)
         if message.opt.uri_path[0] == BOARD_PATH and message.code == codes.GET:
-            self._change_observation(work, answer)
+            self._notifier.change_observation(message, work.endpoint, answer)
         return answer
 
-    def _change_observation(self, work: Work, answer: Message) -> None:
-        message, endpoint = work.message, work.endpoint
-        known = self._observers.find(endpoint, message.token)
-        match message.opt.observe:
-            case 0:
-                board = read_query(message.opt).get("board", "")
-                observer = known or Observer(endpoint, message.token, board)
-                observer.advance()
-                answer.opt.observe = observer.sequence
-                if known is None:
-                    self._add_observer(observer)
-            case 1 if known is not None:
-                self._end_observation(known, "deregistered")
-
     def _answer(self, request: Message, endpoint: Address, answer: Message) -> None:
         encoded = answer.encode()
         self._answers[endpoint, request.mid] = encoded
@@ -392,64 +362,6 @@
         if self._socket is not None:
             send_datagram(self._socket, datagram, endpoint)
 
-    def _add_observer(self, observer: Observer) -> None:
-        self._observers.add(observer)
-        self._record.append(
-            ObservationStarted(
-                time.time(),
-                self._host,
-                self._incarnation,
-                observer.board,
-                format_address(observer.endpoint),
-            )
-        )
-
-    def _end_observation(self, observer: Observer, reason: str) -> None:
-        self._observers.remove(observer)
-        self._record_observation_end(observer, reason)
-
-    def _record_observation_end(self, observer: Observer, reason: str) -> None:
-        self._record.append(
-            ObservationEnded(
-                time.time(),
-                self._host,
-                self._incarnation,
-                observer.board,
-                format_address(observer.endpoint),
-                reason,
-            )
-        )
-
-    async def _notify_observers(self) -> None:
-        number = 0
-        due_at = time.monotonic()
-        while True:
-            due_at += GROUP_INTERVAL_S
-            await asyncio.sleep(max(0.0, due_at - time.monotonic()))
-            number += 1
-            for observer in self._observers.list_group(number):
-                self._notify(observer)
-
-    def _notify(self, observer: Observer) -> None:
-        confirm = observer.advance()
-        if confirm:
-            observer.unconfirmed += 1
-        if observer.unconfirmed > MOST_UNCONFIRMED:
-            self._end_observation(observer, "unconfirmed")
-            return
-        message_id = self._ids.draw()
-        observer.message_ids.append(message_id)
-        notification = Message(
-            code=codes.CONTENT,
-            payload=describe(COMPTOIR, self._place, board=observer.board),
-            _mtype=Type.CON if confirm else Type.NON,
-            _mid=message_id,
-            _token=observer.token,
-        )
-        notification.opt.observe = observer.sequence
-        notification.opt.content_format = JSON_FORMAT
-        self._send(notification.encode(), observer.endpoint)
-
     async def _record_packets(self) -> None:
         while True:
             await asyncio.sleep(PACKETS_INTERVAL_S)
