Report service-level burn from what the daemons count

Cause: operators need to see objectives, error budget, burn rates, refusals by verdict, broken flows and imbalance without another store.

The page itself was not seen in a browser, as there is none here.

--- /dev/null
+++ b/src/balsamstream/command/report.py
@@ -0,0 +1,127 @@
+"""Reports the service-level burn that daemons have counted."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Any
+
+from returns.result import Failure, Result, Success
+
+from ..report import BurnPage, parse_page
+from .daemons import read_daemons
+from .outcome import ExitCode, Fault, Output, Table
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from pathlib import Path
+
+    from ..report.assessment import Assessment
+    from .outcome import Outcome
+
+
+def report_burn(
+    daemons: Sequence[str], services: Sequence[str] = (), html: Path | None = None
+) -> Outcome:
+    """Report the burn of services over the last hour.
+
+    Parameters
+    ----------
+    daemons : sequence of str
+        Status addresses of the daemons to ask.
+    services : sequence of str
+        Services to report, all where empty.
+    html : Path or None
+        File to write the page to, None for none.
+
+    Returns
+    -------
+    Outcome
+        The table, or why there is none.
+    """
+    answers = asyncio.run(read_daemons(daemons, "/burn"))
+    pages, warnings = _sort_answers(answers)
+    if not pages:
+        return Failure(Fault(ExitCode.UNAVAILABLE, ("no daemon answered", *warnings)))
+    warnings.extend(_find_gaps(pages))
+    return _report(pages, warnings, services, html)
+
+
+def _report(
+    pages: Sequence[BurnPage],
+    warnings: list[str],
+    services: Sequence[str],
+    html: Path | None,
+) -> Outcome:
+    from ..report.assessment import assess_pages
+    from ..report.summary import build_record
+
+    now_s = time.time()
+    items = [
+        item
+        for item in assess_pages(pages, now_s)
+        if not services or item.burn.service in services
+    ]
+    missing = set(services) - {item.burn.service for item in items}
+    if missing:
+        line = f"no daemon knows of {', '.join(sorted(missing))}"
+        return Failure(Fault(ExitCode.MISSING, (line,)))
+    lines = [f"warning: {text}" for text in warnings]
+    if html is not None:
+        from ..report.page import build_page
+
+        try:
+            html.write_text(build_page(items, now_s, warnings), encoding="utf-8")
+        except OSError as error:
+            line = f"{html}: {error.strerror or error}"
+            return Failure(Fault(ExitCode.USAGE, (line,)))
+        lines.append(f"the page was written to {html}")
+    value = {
+        "now_s": now_s,
+        "warnings": warnings,
+        "services": [build_record(item) for item in items],
+    }
+    return Success(Output(value, _build_tables(items), tuple(lines)))
+
+
+def _build_tables(items: Sequence[Assessment]) -> tuple[Table, ...]:
+    from ..report.summary import (
+        BURN_COLUMNS,
+        OUTCOME_COLUMNS,
+        build_burn_row,
+        build_outcome_row,
+    )
+
+    burn_rows = tuple(build_burn_row(item) for item in items)
+    outcome_rows = tuple(build_outcome_row(item) for item in items)
+    return (
+        Table(BURN_COLUMNS, burn_rows, "burn"),
+        Table(OUTCOME_COLUMNS, outcome_rows, "outcomes in the last hour"),
+    )
+
+
+def _sort_answers(
+    answers: dict[str, Result[dict[str, Any], str]],
+) -> tuple[list[BurnPage], list[str]]:
+    pages: list[BurnPage] = []
+    warnings: list[str] = []
+    for address, answer in answers.items():
+        match answer.map(parse_page):
+            case Success(Success(BurnPage() as page)):
+                pages.append(page)
+            case Success(Failure(problems)):
+                warnings.append(f"{address} served no burn page: {problems[0]}")
+            case Failure(text):
+                warnings.append(f"{address} is left out: {text}")
+    return pages, warnings
+
+
+def _find_gaps(pages: Sequence[BurnPage]) -> list[str]:
+    return [
+        f"{page.daemon} dropped {page.dropped_slots} slots of 10 s to save memory"
+        for page in pages
+        if page.dropped_slots
+    ]
+
+
+__all__ = ["report_burn"]
--- a/src/balsamstream/command/run.py
+++ b/src/balsamstream/command/run.py
@@ -17,6 +17,7 @@
 from .delete import delete_object
 from .outcome import Outcome, Output
 from .printer import show_outcome
+from .report import report_burn
 from .session import Form, Options, run_on_platform
 from .show import describe_object, get_objects
 from .status import show_status
@@ -209,6 +210,33 @@
     return run_on_platform(options, lambda c: change_data_centre(c, name, state))
 
 
+@app.command
+def report(
+    *,
+    daemon: list[str],
+    service: list[str] | None = None,
+    html: Path | None = None,
+    options: Common,
+) -> Outcome:
+    """Report the service-level burn of the last hour.
+
+    Shows for each service its objectives, the error budget that is left, burn
+    rates over 5 minutes and 1 hour, broken flows, refusals by verdict and the
+    imbalance across hosts. The counts of all daemons named are added up, so name
+    every balancer and agent. The platform is not needed.
+
+    Parameters
+    ----------
+    daemon : list of str
+        Status address (IP:PORT) of a daemon; repeated for each.
+    service : list of str
+        Report only this service; may be repeated.
+    html : Path
+        Write a page with plots to this file as well.
+    """
+    return report_burn(daemon, service or (), html)
+
+
 @app.command
 def completion(shell: Literal["bash", "zsh", "fish"], /, *, options: Common) -> Outcome:
     """Print the completion script of a shell, to be read by its start file.
--- a/src/balsamstream/platform/transport.py
+++ b/src/balsamstream/platform/transport.py
@@ -205,7 +205,7 @@
                 content = await response.read()
                 return Success(_build_answer(response, content))
         except aiohttp.ClientConnectorError as error:
-            return Failure(Unavailable(False, str(error)))
+            return Failure(Unavailable(False, _describe_connection(error)))
         except TimeoutError:
             text = f"no answer within {self._timeout_s:g} s"
             return Failure(Unavailable(method != "GET", text))
@@ -239,6 +239,8 @@
         except TimeoutError:
             cause = EndCause.IDLE if opened else EndCause.LOST
             yield StreamEnd(cause, text="no data in time")
+        except aiohttp.ClientConnectorError as error:
+            yield StreamEnd(EndCause.LOST, text=_describe_connection(error))
         except (aiohttp.ClientError, OSError) as error:
             yield StreamEnd(EndCause.LOST, text=str(error) or type(error).__name__)
 
@@ -269,6 +271,12 @@
     yield StreamEnd(EndCause.CLOSED)
 
 
+def _describe_connection(error: aiohttp.ClientConnectorError) -> str:
+    if isinstance(error, ssl.SSLError | ssl.CertificateError):
+        return str(error)
+    return f"no connection to {error.host}:{error.port}"
+
+
 def _build_answer(response: aiohttp.ClientResponse, content: bytes) -> Answer:
     text = response.headers.get("Retry-After", "")
     try:
--- /dev/null
+++ b/tests/command/test_report.py
@@ -0,0 +1,72 @@
+"""The report of daemons that are asked over HTTP."""
+
+from __future__ import annotations
+
+import http.server
+import json
+import threading
+import time
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from balsamstream.command.run import app
+from balsamstream.report import BurnRecord, write_page
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """Serves the burn page of one agent."""
+
+    def do_GET(self) -> None:
+        """Answer with the page."""
+        record = BurnRecord("comptoir-1", "medina")
+        record.count_answer("comptoir", 0.01, time.time())
+        body = json.dumps(write_page(record.build_page(time.time()))).encode()
+        self.send_response(200 if self.path == "/burn" else 404)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *_arguments: object) -> None:
+        """Log nothing."""
+
+
+@pytest.fixture
+def address() -> Iterator[str]:
+    listener = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+    thread = threading.Thread(target=listener.serve_forever)
+    thread.start()
+    yield f"127.0.0.1:{listener.server_port}"
+    listener.shutdown()
+    thread.join()
+    listener.server_close()
+
+
+def call(*arguments: str) -> Any:
+    return app.meta(arguments, result_action="return_value")
+
+
+def test_reports_what_the_daemons_that_answer_counted(
+    address: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    page = tmp_path / "burn.html"
+    daemons = ("--daemon", address, "--daemon", "127.0.0.1:1")
+    assert call("report", *daemons, "--html", str(page), "--output", "json") == 0
+    value = json.loads(capsys.readouterr().out)
+    assert [item["requests"] for item in value["services"]] == [1]
+    assert value["warnings"][0].startswith("127.0.0.1:1 is left out")
+    assert "comptoir" in page.read_text(encoding="utf-8")
+    assert call("report", *daemons) == 0
+    assert "within budget" in capsys.readouterr().out
+
+
+def test_fails_where_there_is_nothing_to_report(address: str) -> None:
+    assert call("report", "--daemon", "127.0.0.1:1") == 6
+    assert call("report", "--daemon", address, "--service", "none") == 5
+    with pytest.raises(SystemExit) as stop:
+        call("report")
+    assert stop.value.code == 2
--- /dev/null
+++ b/tests/report/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the report on service-level burn."""
