Run balancer and agent as daemons

A kernel with named services; sockets drained in batches by loop callbacks; the decisions' actions carried out in the same step. Not yet run as a whole.

--- /dev/null
+++ b/src/balsamstream/daemon/agent.py
@@ -0,0 +1,160 @@
+"""The agent beside one backend server."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Any, Final
+
+from balsamstream.core.agent import AgentConfig, AgentDecisions
+from balsamstream.core.identity import Address
+from balsamstream.core.message import (
+    Cancel,
+    CloseFlow,
+    Count,
+    Deliver,
+    EditView,
+    RefuseCaller,
+    ReturnToCaller,
+    Send,
+)
+from balsamstream.edge.protocols import find_protocol
+
+from .backend import BackendSockets
+from .role import Role
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from balsamstream.core.identity import FlowKey, ProcessRef, RequestKey
+    from balsamstream.core.message import Action, Message
+    from balsamstream.kernel import Kernel
+
+    from .settings import AgentSettings, Settings
+
+BACKEND: Final = "backend"
+FETCH_AFTER_S: Final = 5.0
+"""Without configuration for so long the platform itself is asked."""
+
+
+class Agent(Role):
+    """Drives the decisions of an agent."""
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        settings: Settings,
+        agent: AgentSettings,
+        ref: ProcessRef,
+    ) -> None:
+        super().__init__(kernel, settings, ref)
+        self._agent = agent
+        self._backend = kernel.find(BACKEND, BackendSockets)
+        self._backend.connect(self, self.check_pause)
+        config = AgentConfig(
+            ref,
+            self.transport.address,
+            agent.service,
+            settings.data_centre,
+            agent.slots,
+            tuple(Address(*peer) for peer in settings.peers),
+        )
+        self._decisions = AgentDecisions(config, random.Random(ref.incarnation))
+        self._next_fetch = self.clock.last.monotonic + FETCH_AFTER_S
+
+    def begin_stop(self) -> None:
+        """Take no new flows and finish what is held."""
+        self.log.info("drain_begun")
+        self.carry_out(self._decisions.drain(self.clock.check()))
+
+    def hurry(self) -> None:
+        """Give up what is still held."""
+        self.log.info("drain_hurried")
+        self.carry_out(self._decisions.hurry(self.clock.check()))
+
+    def describe(self) -> dict[str, Any]:
+        """Return what the status page shows."""
+        state = self._decisions.state
+        admission = state.admission
+        return {
+            "service": self._agent.service,
+            "view": state.routing.version.view,
+            "data_centres_version": state.routing.version.data_centres,
+            "configuration_version": state.catalogue.complete_to,
+            "flows": len(state.flows),
+            "in_flight": 0 if admission is None else admission.in_flight,
+            "flow_limit": 0 if admission is None else admission.limits.flows,
+            "in_flight_limit": 0 if admission is None else admission.limits.in_flight,
+            "health": None if admission is None else admission.health.value,
+            "takes_flows": state.takes_flows,
+            "leaving": state.leaving,
+            "drained": self._decisions.drained,
+            "sockets": len(self._backend),
+        }
+
+    def take_answer(self, flow: FlowKey, request: RequestKey, payload: bytes) -> None:
+        """Take a datagram of the backend server."""
+        now = self.clock.last.monotonic
+        self.carry_out(self._decisions.take_answer(flow, request, payload, now))
+
+    def notice_backend_refused(self, flow: FlowKey) -> None:
+        """Note that the backend server's port refused a datagram."""
+        now = self.clock.last.monotonic
+        self.carry_out(self._decisions.notice_backend_refused(flow, now))
+
+    def decide_received(
+        self, sender: Address, message: Message, now: float
+    ) -> Sequence[Action]:
+        """Decide on a message."""
+        return self._decisions.receive(sender, message, now)
+
+    def decide_pause(self, gap_s: float, now: float) -> Sequence[Action]:
+        """Decide after a pause of the process."""
+        return self._decisions.notice_pause(gap_s, now)
+
+    def decide_tick(self, now: float) -> Sequence[Action]:
+        """Decide what is due by time."""
+        return self._decisions.tick(now)
+
+    def discard_queued(self) -> int:
+        """Drop what the backend server sent during a pause."""
+        return self._backend.discard()
+
+    async def follow_up(self) -> None:
+        """Follow the declared protocol, ask the platform at need, notice the end."""
+        decisions = self._decisions
+        entry = decisions.state.catalogue.find_service(self._agent.service)
+        if entry is not None:
+            self._backend.use_protocol(find_protocol(entry.spec.protocol))
+        self._fetch_at_need(self.clock.last.monotonic)
+        if decisions.drained:
+            self.has_stopped.set()
+        self.metrics.set_gauge("flows", len(decisions.state.flows))
+
+    def carry_out(self, actions: Sequence[Action]) -> None:
+        """Carry out actions in order."""
+        for action in actions:
+            match action:
+                case Send(to, message):
+                    self.transport.send(to, message)
+                case Deliver():
+                    self._backend.deliver(action)
+                case Count(name, amount):
+                    self.metrics.count(name, amount)
+                case Cancel():
+                    self._backend.cancel(action)
+                case CloseFlow():
+                    self._backend.close_flow(action)
+                case EditView():
+                    self.link.edit(action)
+                case ReturnToCaller() | RefuseCaller():
+                    self.metrics.count("unexpected_action")
+
+    def _fetch_at_need(self, now: float) -> None:
+        """Ask the platform while no peer gives the service's configuration."""
+        if self._decisions.state.profile is not None or now < self._next_fetch:
+            return
+        self._next_fetch = now + FETCH_AFTER_S
+        self.link.fetch()
+
+
+__all__ = ["BACKEND", "Agent"]
--- /dev/null
+++ b/src/balsamstream/daemon/balancer.py
@@ -0,0 +1,188 @@
+"""The balancer on an entry VM."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING, Any, Final
+
+from balsamstream.core.balancer import BalancerConfig, BalancerDecisions
+from balsamstream.core.identity import Address
+from balsamstream.core.message import (
+    Cancel,
+    CloseFlow,
+    Count,
+    Deliver,
+    EditView,
+    RefuseCaller,
+    ReturnToCaller,
+    Send,
+)
+
+from .edge import Edge
+from .platform_link import Registration
+from .role import Role
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from balsamstream.core.catalogue import ServiceEntry
+    from balsamstream.core.identity import FlowKey, ProcessRef
+    from balsamstream.core.message import Action, Message
+    from balsamstream.edge.protocol import Classified
+    from balsamstream.kernel import Kernel
+
+    from .settings import BalancerSettings, Settings
+
+EDGE: Final = "edge"
+LEAST_LINGER_S: Final = 1.0
+MOST_LINGER_S: Final = 3.0
+REGISTRATION_CHECK_S: Final = 5.0
+
+
+class Balancer(Role):
+    """Drives the decisions of a balancer."""
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        settings: Settings,
+        balancer: BalancerSettings,
+        ref: ProcessRef,
+    ) -> None:
+        super().__init__(kernel, settings, ref)
+        config = BalancerConfig(
+            ref,
+            self.transport.address,
+            settings.data_centre,
+            balancer.hints,
+            tuple(Address(*peer) for peer in settings.peers),
+        )
+        self._decisions = BalancerDecisions(config, random.Random(ref.incarnation))
+        self._edge = Edge(balancer.edge, self._decisions.catalogue, self.metrics)
+        self._edge.connect(self, self.check_pause)
+        self._registration = Registration(ref, config.address, config.data_centre)
+        self._next_registration = 0.0
+        self._is_stopping = False
+        kernel.add(EDGE, self._edge)
+
+    def begin_stop(self) -> None:
+        """Withdraw the announcement and forward for a while yet."""
+        self.log.info("stop_begun")
+        self._is_stopping = True
+        self.kernel.start_task("stop", self._stop())
+
+    def hurry(self) -> None:
+        """Stop forwarding now."""
+        self.log.info("stop_hurried")
+        self.has_stopped.set()
+
+    async def close(self) -> None:
+        """Stop ticking."""
+        await self.kernel.end_task("stop")
+        await super().close()
+
+    def describe(self) -> dict[str, Any]:
+        """Return what the status page shows."""
+        catalogue = self._decisions.catalogue
+        services = {}
+        for entry in catalogue.services:
+            routing = self._decisions.find_routing(entry)
+            services[entry.spec.name] = {
+                "address": str(entry.spec.address),
+                "view": routing.version.view,
+                "eligible": len(routing.eligible),
+                "reachable": len(routing.reachable),
+            }
+        return {
+            "configuration_version": catalogue.complete_to,
+            "data_centres_version": catalogue.data_centres_version,
+            "data_centres_out": sorted(catalogue.out),
+            "services": services,
+            "hints": self._decisions.hint_count,
+            "watching": self._decisions.should_watch,
+            "stopping": self._is_stopping,
+        }
+
+    def take_datagram(
+        self,
+        entry: ServiceEntry,
+        flow: FlowKey,
+        caller: Address,
+        classified: Classified,
+        payload: bytes,
+    ) -> None:
+        """Take a caller's datagram."""
+        now = self.clock.last.monotonic
+        self.carry_out(
+            self._decisions.route(
+                entry,
+                flow,
+                caller,
+                classified.kind,
+                classified.request,
+                payload,
+                now,
+            )
+        )
+
+    def decide_received(
+        self, sender: Address, message: Message, now: float
+    ) -> Sequence[Action]:
+        """Decide on a message."""
+        return self._decisions.receive(sender, message, now)
+
+    def decide_pause(self, gap_s: float, now: float) -> Sequence[Action]:
+        """Decide after a pause of the process."""
+        return self._decisions.notice_pause(gap_s, now)
+
+    def decide_tick(self, now: float) -> Sequence[Action]:
+        """Decide what is due by time."""
+        return self._decisions.tick(now)
+
+    def discard_queued(self) -> int:
+        """Drop what callers sent during a pause."""
+        return self._edge.discard()
+
+    async def follow_up(self) -> None:
+        """Watch the platform where that is due, and stay announced."""
+        await self.link.set_watching(self._decisions.should_watch)
+        self._register_at_need(self.clock.last.monotonic)
+        self.metrics.set_gauge("hints", self._decisions.hint_count)
+
+    def carry_out(self, actions: Sequence[Action]) -> None:
+        """Carry out actions in order."""
+        for action in actions:
+            match action:
+                case Send(to, message):
+                    self.transport.send(to, message)
+                case ReturnToCaller():
+                    self._edge.return_answer(action)
+                case Count(name, amount):
+                    self.metrics.count(name, amount)
+                case RefuseCaller():
+                    self._edge.refuse(action)
+                case EditView():
+                    self.link.edit(action)
+                case Deliver() | Cancel() | CloseFlow():
+                    self.metrics.count("unexpected_action")
+
+    def _register_at_need(self, now: float) -> None:
+        if self._is_stopping or now < self._next_registration:
+            return
+        self._next_registration = now + REGISTRATION_CHECK_S
+        known = {entry.ref for entry in self._decisions.catalogue.balancers}
+        if self.ref not in known:
+            self.link.register(self._registration)
+
+    async def _stop(self) -> None:
+        await self.link.deregister(self._registration)
+        deadlines = [
+            entry.profile.deadline_ms for entry in self._decisions.catalogue.services
+        ]
+        longest_s = max(deadlines, default=0) / 1000
+        await asyncio.sleep(min(MOST_LINGER_S, max(LEAST_LINGER_S, longest_s)))
+        self.has_stopped.set()
+
+
+__all__ = ["EDGE", "Balancer"]
--- /dev/null
+++ b/src/balsamstream/daemon/clocks.py
@@ -0,0 +1,80 @@
+"""The loop's time, and pauses in which the process stood still."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+PAUSE_S: Final = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """One reading of all clocks, each in seconds.
+
+    Parameters
+    ----------
+    monotonic : float
+        Stands still with a suspended machine.
+    boot : float
+        Goes on while the machine is suspended.
+    wall : float
+        May jump.
+    """
+
+    monotonic: float
+    boot: float
+    wall: float
+
+
+def read_clocks() -> Reading:
+    """Read the machine's clocks."""
+    return Reading(
+        time.monotonic(), time.clock_gettime(time.CLOCK_BOOTTIME), time.time()
+    )
+
+
+class PauseDetector:
+    """Notices that the loop stood still.
+
+    A machine paused by its host may have its monotonic clock stand still too, so the
+    largest of the elapsed times counts. A wall clock that is set forward looks like a
+    pause; that costs the datagrams then queued and nothing else.
+
+    Parameters
+    ----------
+    handle_pause : callable
+        Called with the length of a pause in seconds before anything else goes on.
+    read : callable
+        Reads the clocks.
+    """
+
+    def __init__(
+        self,
+        handle_pause: Callable[[float], None],
+        read: Callable[[], Reading] = read_clocks,
+    ) -> None:
+        self._handle_pause = handle_pause
+        self._read = read
+        self.last = read()
+
+    def check(self) -> float:
+        """Compare with the last check; return the monotonic time in seconds."""
+        before = self.last
+        now = self._read()
+        self.last = now
+        gap_s = max(
+            now.monotonic - before.monotonic,
+            now.boot - before.boot,
+            now.wall - before.wall,
+        )
+        if gap_s > PAUSE_S:
+            self._handle_pause(gap_s)
+        return now.monotonic
+
+
+__all__ = ["PAUSE_S", "PauseDetector", "Reading", "read_clocks"]
--- /dev/null
+++ b/src/balsamstream/daemon/daemon.py
@@ -0,0 +1,136 @@
+"""Puts the services of one role together and runs them until a signal."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import signal
+from typing import Final
+
+import structlog
+from returns.result import Failure, Success
+
+from balsamstream.core.identity import Address, ProcessRef
+from balsamstream.kernel import Kernel
+from balsamstream.platform.client import PlatformClient
+from balsamstream.platform.transport import HttpTransport
+
+from .logs import configure_logs
+from .metrics import Metrics
+from .platform_link import PlatformLink
+from .role import METRICS, PLATFORM, ROLE, TRANSPORT, Role
+from .settings import AgentSettings, BalancerSettings, Settings, load_settings
+from .status import StatusPage
+from .transport import Transport
+
+INCARNATION_BITS: Final = 53
+"""Every reader of JSON keeps integers of so many bits exact."""
+
+STATUS: Final = "status"
+
+
+class Daemon:
+    """One process of the system.
+
+    Parameters
+    ----------
+    path : str
+        File of the settings, read again at SIGHUP.
+    settings : Settings
+        Settings of the daemon.
+    """
+
+    def __init__(self, path: str, settings: Settings) -> None:
+        self._path = path
+        self._settings = settings
+        self._kernel = Kernel()
+        self._log = structlog.get_logger("balsamstream.daemon")
+        self._stop_signals = 0
+
+    async def run(self) -> int:
+        """Run until a signal or a failure; return the exit status."""
+        role = self._add_services()
+        self._handle_signals(role)
+        try:
+            await self._kernel.start()
+        except OSError as error:
+            self._log.error("start_failed", error=str(error))
+            return 1
+        self._log.info(
+            "ready",
+            address=str(role.transport.address),
+            role=self._settings.role.value,
+            name=role.ref.name,
+            incarnation=role.ref.incarnation,
+        )
+        self._kernel.start_task("stopped", self._stop_after(role))
+        await self._kernel.wait()
+        await self._kernel.close()
+        failure = self._kernel.failure
+        self._log.info("stopped", failure=None if failure is None else repr(failure))
+        return 0 if failure is None else 1
+
+    def _add_services(self) -> Role:
+        settings = self._settings
+        kernel = self._kernel
+        ref = ProcessRef(settings.name, 1 + secrets.randbits(INCARNATION_BITS - 1))
+        address = Address(*settings.address)
+        metrics = Metrics(kernel, settings.metrics, settings.name)
+        kernel.add(METRICS, metrics)
+        transport = Transport(ref, address, settings.keys, metrics)
+        role = self._build_role(transport, ref)
+        http = HttpTransport(settings.platform.url, settings.platform.ca_file)
+        client = PlatformClient(http, author=f"{settings.role.value}/{settings.name}")
+        link = PlatformLink(kernel, client, metrics, role.take_changes)
+        kernel.add(PLATFORM, link)
+        kernel.add(ROLE, role)
+        kernel.add(STATUS, StatusPage(kernel, settings))
+        return role
+
+    def _build_role(self, transport: Transport, ref: ProcessRef) -> Role:
+        """Build the role; only its own modules are imported."""
+        self._kernel.add(TRANSPORT, transport)
+        match self._settings:
+            case Settings(balancer=BalancerSettings() as balancer):
+                from .balancer import Balancer
+
+                return Balancer(self._kernel, self._settings, balancer, ref)
+            case Settings(agent=AgentSettings() as agent):
+                from .agent import BACKEND, Agent
+                from .backend import BackendSockets
+
+                metrics = self._kernel.find(METRICS, Metrics)
+                backend = BackendSockets(Address(*agent.backend_server), metrics)
+                self._kernel.add(BACKEND, backend)
+                return Agent(self._kernel, self._settings, agent, ref)
+        raise ValueError("the settings name no role")
+
+    def _handle_signals(self, role: Role) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop, role)
+        loop.add_signal_handler(signal.SIGHUP, self._read_settings_again, role)
+
+    def _stop(self, role: Role) -> None:
+        self._stop_signals += 1
+        if self._stop_signals == 1:
+            role.begin_stop()
+            return
+        role.hurry()
+
+    async def _stop_after(self, role: Role) -> None:
+        await role.has_stopped.wait()
+        self._kernel.stop()
+
+    def _read_settings_again(self, role: Role) -> None:
+        match load_settings(self._path):
+            case Success(settings):
+                role.transport.replace_keys(settings.keys)
+                configure_logs(settings.log_level)
+                self._log.info("settings_read")
+            case Failure(problems):
+                for problem in problems:
+                    self._log.error("wrong_settings", problem=str(problem))
+
+
+__all__ = ["Daemon"]
--- /dev/null
+++ b/src/balsamstream/daemon/datagram.py
@@ -0,0 +1,134 @@
+"""A UDP socket that is drained in batches by a reader callback of the loop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from balsamstream.core.identity import Address
+
+    from .metrics import Metrics
+
+BATCH_DATAGRAMS: Final = 64
+LARGEST_DATAGRAM_BYTES: Final = 65_535
+SOCKET_BUFFER_BYTES: Final = 4_194_304
+
+
+class DatagramSocket:
+    """A bound socket; what arrives goes to a callback, 64 datagrams a wake-up.
+
+    A callback that raises is counted and logged and loses its datagram only.
+
+    Parameters
+    ----------
+    name : str
+        Short name for counters and logs.
+    address : Address
+        Where to listen.
+    take : callable
+        Takes a datagram and its source.
+    metrics : Metrics
+        Where sends that fail are counted.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: Address,
+        take: Callable[[bytes, tuple[str, int]], None],
+        metrics: Metrics,
+    ) -> None:
+        self._name = name
+        self._address = address
+        self._take = take
+        self._metrics = metrics
+        self._socket: socket.socket | None = None
+        self._buffer = bytearray(LARGEST_DATAGRAM_BYTES)
+        self._view = memoryview(self._buffer)
+
+    def open(self, before_batch: Callable[[], None]) -> None:
+        """Bind the socket and begin to read.
+
+        Parameters
+        ----------
+        before_batch : callable
+            Called before each batch.
+
+        Raises
+        ------
+        OSError
+            If the address can't be bound.
+        """
+        self._socket = open_socket()
+        try:
+            self._socket.bind(self._address)
+        except OSError:
+            self.close()
+            raise
+        loop = asyncio.get_running_loop()
+        loop.add_reader(self._socket, self._drain, before_batch)
+
+    def close(self) -> None:
+        """Stop reading and close the socket."""
+        if self._socket is None:
+            return
+        with contextlib.suppress(RuntimeError):
+            asyncio.get_running_loop().remove_reader(self._socket)
+        self._socket.close()
+        self._socket = None
+
+    def send(self, datagram: bytes, to: tuple[str, int]) -> None:
+        """Send a datagram, or count it as lost where the socket can't take it."""
+        if self._socket is None:
+            return
+        try:
+            self._socket.sendto(datagram, to)
+        except OSError as error:
+            self._metrics.note_loss(f"{self._name}_send", error)
+
+    def discard(self) -> int:
+        """Read and drop what is queued; return how many datagrams that were."""
+        dropped = 0
+        while self._socket is not None:
+            try:
+                self._socket.recv_into(self._buffer)
+            except BlockingIOError:
+                break
+            except OSError:
+                continue
+            dropped += 1
+        return dropped
+
+    def _drain(self, before_batch: Callable[[], None]) -> None:
+        before_batch()
+        for _ in range(BATCH_DATAGRAMS):
+            if self._socket is None:
+                return
+            try:
+                size, source = self._socket.recvfrom_into(self._buffer)
+            except BlockingIOError:
+                return
+            except OSError:
+                # An ICMP error of an earlier datagram; the next receive goes on.
+                continue
+            try:
+                self._take(bytes(self._view[:size]), source)
+            except Exception as error:
+                self._metrics.note_loss(f"{self._name}_handler", error)
+
+
+def open_socket() -> socket.socket:
+    """Open a non-blocking UDP socket with large buffers."""
+    opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    opened.setblocking(False)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
+    return opened
+
+
+__all__ = ["BATCH_DATAGRAMS", "LARGEST_DATAGRAM_BYTES", "DatagramSocket", "open_socket"]
--- /dev/null
+++ b/src/balsamstream/daemon/logs.py
@@ -0,0 +1,82 @@
+"""Logs: one line of key=value pairs for each event, at a bounded rate."""
+
+from __future__ import annotations
+
+import logging
+import sys
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+import structlog
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, MutableMapping
+
+    from .settings import LogLevel
+
+EVENTS_PER_S: Final = 5.0
+EVENTS_AT_ONCE: Final = 20.0
+MOST_EVENT_NAMES: Final = 256
+
+
+class RateLimit:
+    """Drops lines of an event that comes too often, and tells how many.
+
+    Parameters
+    ----------
+    read_clock : callable
+        Returns seconds of a clock that never falls.
+    """
+
+    def __init__(self, read_clock: Callable[[], float] = time.monotonic) -> None:
+        self._read_clock = read_clock
+        self._tokens: dict[str, tuple[float, float]] = {}
+        self._dropped: dict[str, int] = {}
+
+    def __call__(
+        self, logger: object, method: str, event: MutableMapping[str, Any]
+    ) -> MutableMapping[str, Any]:
+        """Pass a line on, as structlog's processors do.
+
+        Raises
+        ------
+        structlog.DropEvent
+            If the event came too often.
+        """
+        name = str(event.get("event", ""))
+        if name not in self._tokens and len(self._tokens) >= MOST_EVENT_NAMES:
+            self._tokens.clear()
+        now = self._read_clock()
+        tokens, seen = self._tokens.get(name, (EVENTS_AT_ONCE, now))
+        tokens = min(EVENTS_AT_ONCE, tokens + (now - seen) * EVENTS_PER_S)
+        if tokens < 1.0:
+            self._tokens[name] = (tokens, now)
+            self._dropped[name] = self._dropped.get(name, 0) + 1
+            raise structlog.DropEvent
+        self._tokens[name] = (tokens - 1.0, now)
+        dropped = self._dropped.pop(name, 0)
+        if dropped:
+            event["dropped_before"] = dropped
+        return event
+
+
+def configure_logs(level: LogLevel) -> None:
+    """Write lines of at least a level to standard output."""
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            RateLimit(),
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.LogfmtRenderer(
+                key_order=["timestamp", "level", "event"], bool_as_flag=False
+            ),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            logging.getLevelNamesMapping()[level.value.upper()]
+        ),
+        logger_factory=structlog.PrintLoggerFactory(sys.stdout),
+        cache_logger_on_first_use=False,
+    )
+
+
+__all__ = ["RateLimit", "configure_logs"]
--- /dev/null
+++ b/src/balsamstream/daemon/metrics.py
@@ -0,0 +1,101 @@
+"""Counters: kept for the status page, sent to statsd once a second."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+import structlog
+
+from balsamstream.kernel import Service
+
+if TYPE_CHECKING:
+    from statsd import StatsClient
+
+    from balsamstream.kernel import Kernel
+
+    from .settings import MetricsSettings
+
+FLUSH_S: Final = 1.0
+MOST_NAMES: Final = 512
+OVERFLOW_NAME: Final = "other"
+
+
+class Metrics(Service):
+    """Adds up counters and gauges and sends what changed.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Runs the task that sends.
+    settings : MetricsSettings or None
+        Where statsd is, None for nowhere.
+    name : str
+        Name of the process, part of each metric's name.
+    """
+
+    def __init__(
+        self, kernel: Kernel, settings: MetricsSettings | None, name: str
+    ) -> None:
+        self._kernel = kernel
+        self._settings = settings
+        self._name = name
+        self._counters: dict[str, int] = {}
+        self._unsent: dict[str, int] = {}
+        self._gauges: dict[str, float] = {}
+        self._log = structlog.get_logger("balsamstream.daemon")
+
+    async def start(self) -> None:
+        """Begin to send."""
+        if self._settings is not None:
+            self._kernel.start_task("metrics", self._send_repeatedly(self._settings))
+
+    async def close(self) -> None:
+        """Stop sending."""
+        await self._kernel.end_task("metrics")
+
+    @property
+    def counters(self) -> dict[str, int]:
+        """All counters since the start, by name."""
+        return dict(sorted(self._counters.items()))
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        if name not in self._counters and len(self._counters) >= MOST_NAMES:
+            name = OVERFLOW_NAME
+        self._counters[name] = self._counters.get(name, 0) + amount
+        self._unsent[name] = self._unsent.get(name, 0) + amount
+
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        if name in self._gauges or len(self._gauges) < MOST_NAMES:
+            self._gauges[name] = value
+
+    def note_loss(self, place: str, error: Exception) -> None:
+        """Count and log a datagram that was dropped because of an error."""
+        self.count(f"lost.{place}")
+        self._log.warning("datagram_lost", place=place, error=repr(error)[:200])
+
+    async def _send_repeatedly(self, settings: MetricsSettings) -> None:
+        from statsd import StatsClient
+
+        prefix = f"{settings.prefix}.{self._name}"
+        client = StatsClient(settings.statsd.ip, settings.statsd.port, prefix)
+        try:
+            while True:
+                await asyncio.sleep(FLUSH_S)
+                self._send(client)
+        finally:
+            self._send(client)
+            client.close()
+
+    def _send(self, client: StatsClient) -> None:
+        unsent, self._unsent = self._unsent, {}
+        with client.pipeline() as pipeline:
+            for name, amount in unsent.items():
+                pipeline.incr(name, amount)
+            for name, value in self._gauges.items():
+                pipeline.gauge(name, value)
+
+
+__all__ = ["Metrics"]
--- /dev/null
+++ b/src/balsamstream/daemon/platform_link.py
@@ -0,0 +1,337 @@
+"""The daemon's only way to the platform: watch, edits of views, own registration.
+
+Nothing here is needed to start or to serve: while the platform is down, edits and
+registration wait and the decisions ask their peers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Final
+
+import structlog
+from returns.result import Failure, Success
+
+from balsamstream.config.kind import Kind
+from balsamstream.core.catalogue import (
+    BalancerEntry,
+    list_spare_voters,
+    read_view,
+    write_view,
+)
+from balsamstream.core.identity import Address, ProcessRef, parse_address
+from balsamstream.core.message import Changes, ConfigObject, EditView
+from balsamstream.core.view import View, edit_view
+from balsamstream.kernel import Mailbox, Service
+from balsamstream.platform.watch import (
+    Changed,
+    Interrupted,
+    Removed,
+    Snapshot,
+    WatchEvent,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from balsamstream.core.view import ViewEdit, Voter
+    from balsamstream.kernel import Kernel
+    from balsamstream.platform.client import PlatformClient
+    from balsamstream.platform.objects import StoredObject
+
+    from .metrics import Metrics
+
+MOST_EDITS: Final = 64
+SPARES_KEPT_S: Final = 10.0
+REGISTER_PAUSE_S: Final = 2.0
+DEREGISTER_WAIT_S: Final = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Registration:
+    """A balancer's own object.
+
+    Parameters
+    ----------
+    ref : ProcessRef
+        This run of the balancer.
+    address : Address
+        Where it takes messages.
+    data_centre : str
+        Name of its data centre.
+    """
+
+    ref: ProcessRef
+    address: Address
+    data_centre: str
+
+    def write_spec(self) -> dict[str, Any]:
+        """Return the object's spec."""
+        return {
+            "incarnation": self.ref.incarnation,
+            "address": str(self.address),
+            "data_centre": self.data_centre,
+        }
+
+
+class PlatformLink(Service):
+    """Carries edits to the platform and changes from it.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Runs the tasks.
+    client : PlatformClient
+        How the platform is reached.
+    metrics : Metrics
+        Counts what failed.
+    take : callable
+        Takes changes.
+    """
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        client: PlatformClient,
+        metrics: Metrics,
+        take: Callable[[Changes], None],
+    ) -> None:
+        self._kernel = kernel
+        self._client = client
+        self._metrics = metrics
+        self._take = take
+        self._edits: Mailbox[EditView] = Mailbox(MOST_EDITS)
+        self._waiting: set[EditView] = set()
+        self._spares: tuple[Voter, ...] = ()
+        self._spares_until = 0.0
+        self._is_watching = False
+        self._is_fetching = False
+        self._is_registering = False
+        self._log = structlog.get_logger("balsamstream.daemon")
+
+    async def start(self) -> None:
+        """Begin to carry out edits."""
+        await self._client.start()
+        self._kernel.start_task("platform_edits", self._carry_out_edits())
+
+    async def close(self) -> None:
+        """End all calls."""
+        for name in ("edits", "watch", "fetch", "registration"):
+            await self._kernel.end_task(f"platform_{name}")
+        await self._client.close()
+
+    def edit(self, action: EditView) -> None:
+        """Carry out an edit later; one that waits already is not repeated."""
+        if action in self._waiting:
+            return
+        if self._edits.offer(action):
+            self._waiting.add(action)
+            return
+        self._metrics.count("edits_refused")
+
+    async def set_watching(self, wanted: bool) -> None:
+        """Watch the platform, or stop it."""
+        if wanted == self._is_watching:
+            return
+        self._is_watching = wanted
+        if not wanted:
+            await self._kernel.end_task("platform_watch")
+            return
+        self._kernel.start_task("platform_watch", self._watch())
+
+    def fetch(self) -> None:
+        """Read everything once, if no read is under way."""
+        if self._is_fetching:
+            return
+        self._is_fetching = True
+        self._kernel.start_task("platform_fetch", self._fetch())
+
+    def register(self, registration: Registration) -> None:
+        """Announce this balancer, trying until it is done."""
+        if self._is_registering:
+            return
+        self._is_registering = True
+        work = self._register_until_done(registration)
+        self._kernel.start_task("platform_registration", work)
+
+    async def deregister(self, registration: Registration) -> None:
+        """Withdraw the announcement, if the platform answers in time."""
+        await self._kernel.end_task("platform_registration")
+        try:
+            async with asyncio.timeout(DEREGISTER_WAIT_S):
+                await self._remove_registration(registration)
+        except TimeoutError:
+            self._log.warning("deregister_timeout")
+
+    # --- edits ---------------------------------------------------------------------
+
+    async def _carry_out_edits(self) -> None:
+        while True:
+            action = await self._edits.take()
+            try:
+                await self._carry_out(action)
+            finally:
+                self._waiting.discard(action)
+
+    async def _carry_out(self, action: EditView) -> None:
+        spares = await self._find_spares()
+
+        def apply(stored: StoredObject | None) -> dict[str, Any] | None:
+            return apply_edit(action.service, action.edit, stored, spares)
+
+        match await self._client.change(Kind.VIEW, action.service, apply):
+            case Success(stored):
+                self._metrics.count("view_edits")
+                self._log.info(
+                    "view_edited",
+                    service=action.service,
+                    edit=type(action.edit).__name__,
+                    number=stored.spec.get("number"),
+                )
+                self._take(_convert_one(stored))
+            case Failure(error):
+                self._metrics.count("view_edits_failed")
+                self._log.warning(
+                    "view_edit_failed",
+                    service=action.service,
+                    edit=type(action.edit).__name__,
+                    error=str(error)[:200],
+                )
+
+    async def _find_spares(self) -> tuple[Voter, ...]:
+        now = asyncio.get_running_loop().time()
+        if now < self._spares_until:
+            return self._spares
+        listed = await self._client.list(Kind.BALANCER)
+        if isinstance(listed, Success):
+            entries = _read_balancers(listed.unwrap().objects)
+            self._spares = list_spare_voters(entries)
+            self._spares_until = now + SPARES_KEPT_S
+        return self._spares
+
+    # --- changes -------------------------------------------------------------------
+
+    async def _watch(self) -> None:
+        seen = 0
+        async for event in self._client.watch_all():
+            changes = convert_event(event, seen)
+            if changes is None:
+                self._metrics.count("watch_interrupted")
+                continue
+            seen = changes.up_to
+            self._take(changes)
+
+    async def _fetch(self) -> None:
+        try:
+            listed = await self._client.list_all()
+        finally:
+            self._is_fetching = False
+        if not isinstance(listed, Success):
+            self._metrics.count("platform_fetch_failed")
+            return
+        listing = listed.unwrap()
+        self._take(_convert_snapshot(listing.version, listing.objects))
+
+    # --- registration --------------------------------------------------------------
+
+    async def _register_until_done(self, registration: Registration) -> None:
+        try:
+            while not await self._register(registration):
+                await asyncio.sleep(REGISTER_PAUSE_S * random.uniform(0.5, 1.0))
+        finally:
+            self._is_registering = False
+
+    async def _register(self, registration: Registration) -> bool:
+        wanted = registration.write_spec()
+
+        def announce(stored: StoredObject | None) -> dict[str, Any] | None:
+            if stored is not None and stored.spec == wanted:
+                return None
+            return wanted
+
+        name = registration.ref.name
+        result = await self._client.change(Kind.BALANCER, name, announce)
+        match result:
+            case Success(stored):
+                self._take(_convert_one(stored))
+                return True
+            case Failure(error):
+                self._log.warning("register_failed", error=str(error)[:200])
+        return False
+
+    async def _remove_registration(self, registration: Registration) -> None:
+        found = await self._client.get(Kind.BALANCER, registration.ref.name)
+        if not isinstance(found, Success):
+            return
+        stored = found.unwrap()
+        if stored.spec == registration.write_spec():
+            await self._client.remove(stored)
+
+
+def apply_edit(
+    service: str,
+    edit: ViewEdit,
+    stored: StoredObject | None,
+    spares: Sequence[Voter],
+) -> dict[str, Any] | None:
+    """Apply an edit to a stored view; nothing where it changes nothing.
+
+    A stored view that can't be read is left as it is: to write a new one would forget
+    its voters.
+    """
+    view = View(service, 0)
+    if stored is not None:
+        try:
+            view = read_view(service, stored.spec)
+        except (KeyError, TypeError, ValueError):
+            return None
+    edited = edit_view(view, edit, spares)
+    return None if edited == view else write_view(edited)
+
+
+def convert_event(event: WatchEvent, seen: int) -> Changes | None:
+    """Turn an event into changes after a version; nothing for an interruption."""
+    match event:
+        case Snapshot(version, objects):
+            return _convert_snapshot(version, objects)
+        case Changed(stored):
+            found = _convert_object(stored)
+            return Changes(seen, stored.version, False, False, (found,))
+        case Removed(kind, name, version):
+            gone = ConfigObject(kind.value, name, version, None)
+            return Changes(seen, version, False, False, (gone,))
+        case Interrupted():
+            return None
+
+
+def _convert_snapshot(version: int, objects: Sequence[StoredObject]) -> Changes:
+    found = sorted(map(_convert_object, objects), key=lambda each: each.version)
+    return Changes(0, version, True, False, tuple(found))
+
+
+def _convert_one(stored: StoredObject) -> Changes:
+    """Turn one object into changes that claim nothing of other objects."""
+    found = _convert_object(stored)
+    return Changes(stored.version, stored.version, False, False, (found,))
+
+
+def _convert_object(stored: StoredObject) -> ConfigObject:
+    return ConfigObject(stored.kind.value, stored.name, stored.version, stored.spec)
+
+
+def _read_balancers(objects: Sequence[StoredObject]) -> list[BalancerEntry]:
+    entries = []
+    for stored in objects:
+        try:
+            ref = ProcessRef(stored.name, int(stored.spec["incarnation"]))
+            address = parse_address(stored.spec["address"])
+            entry = BalancerEntry(ref, address, str(stored.spec["data_centre"]))
+        except (KeyError, TypeError, ValueError):
+            continue
+        entries.append(entry)
+    return entries
+
+
+__all__ = ["PlatformLink", "Registration", "apply_edit", "convert_event"]
--- /dev/null
+++ b/src/balsamstream/daemon/role.py
@@ -0,0 +1,147 @@
+"""What balancer and agent have in common: time, messages, changes, a clean stop."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import abstractmethod
+from typing import TYPE_CHECKING, Any, Final
+
+import structlog
+
+from balsamstream.kernel import Mailbox, Service
+
+from .clocks import PauseDetector
+from .metrics import Metrics
+from .platform_link import PlatformLink
+from .transport import Transport
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from balsamstream.core.identity import Address, ProcessRef
+    from balsamstream.core.message import Action, Changes, Message
+    from balsamstream.kernel import Kernel
+
+    from .settings import Settings
+
+TICK_S: Final = 0.05
+MOST_CHANGES: Final = 1_024
+
+TRANSPORT: Final = "transport"
+METRICS: Final = "metrics"
+PLATFORM: Final = "platform"
+ROLE: Final = "role"
+
+
+class Role(Service):
+    """Drives the decisions of one role and carries out their actions.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Finds the other services and runs tasks.
+    settings : Settings
+        Settings of the daemon.
+    ref : ProcessRef
+        This run of this process.
+    """
+
+    def __init__(self, kernel: Kernel, settings: Settings, ref: ProcessRef) -> None:
+        self.kernel = kernel
+        self.settings = settings
+        self.ref = ref
+        self.transport = kernel.find(TRANSPORT, Transport)
+        self.metrics = kernel.find(METRICS, Metrics)
+        self.log = structlog.get_logger("balsamstream.daemon")
+        self.clock = PauseDetector(self._handle_pause)
+        self.has_stopped = asyncio.Event()
+        self._changes: Mailbox[Changes] = Mailbox(MOST_CHANGES)
+        self.transport.connect(self._receive, self.check_pause)
+
+    @property
+    def link(self) -> PlatformLink:
+        """The way to the platform."""
+        return self.kernel.find(PLATFORM, PlatformLink)
+
+    async def start(self) -> None:
+        """Begin to tick."""
+        self.kernel.start_task("tick", self._tick_repeatedly())
+        self.kernel.start_task("changes", self._take_changes())
+
+    async def close(self) -> None:
+        """Stop ticking."""
+        await self.kernel.end_task("tick")
+        await self.kernel.end_task("changes")
+
+    @abstractmethod
+    def begin_stop(self) -> None:
+        """Begin a graceful stop; ``has_stopped`` is set at its end."""
+
+    @abstractmethod
+    def hurry(self) -> None:
+        """Cut a graceful stop short."""
+
+    @abstractmethod
+    def describe(self) -> dict[str, Any]:
+        """Return what the status page shows."""
+
+    @abstractmethod
+    def carry_out(self, actions: Sequence[Action]) -> None:
+        """Carry out actions in order."""
+
+    @abstractmethod
+    def decide_received(
+        self, sender: Address, message: Message, now: float
+    ) -> Sequence[Action]:
+        """Decide on a message."""
+
+    @abstractmethod
+    def decide_pause(self, gap_s: float, now: float) -> Sequence[Action]:
+        """Decide after a pause of the process."""
+
+    @abstractmethod
+    def decide_tick(self, now: float) -> Sequence[Action]:
+        """Decide what is due by time."""
+
+    @abstractmethod
+    def discard_queued(self) -> int:
+        """Drop what is queued in the sockets besides the transport's."""
+
+    def take_changes(self, changes: Changes) -> None:
+        """Queue changes that the platform showed."""
+        if not self._changes.offer(changes):
+            self.metrics.count("lost.changes")
+
+    def check_pause(self) -> None:
+        """Notice a pause before anything queued meanwhile is handled."""
+        self.clock.check()
+
+    def _receive(self, sender: Address, message: Message) -> None:
+        now = self.clock.last.monotonic
+        self.carry_out(self.decide_received(sender, message, now))
+
+    def _handle_pause(self, gap_s: float) -> None:
+        dropped = self.transport.discard() + self.discard_queued()
+        self.log.warning("process_paused", gap_s=round(gap_s, 3), dropped=dropped)
+        self.metrics.count("pauses")
+        self.metrics.count("lost.paused", dropped)
+        self.carry_out(self.decide_pause(gap_s, self.clock.last.monotonic))
+
+    async def _take_changes(self) -> None:
+        while True:
+            changes = await self._changes.take()
+            self._receive(self.transport.address, changes)
+
+    async def _tick_repeatedly(self) -> None:
+        while True:
+            now = self.clock.check()
+            self.transport.advance(self.clock.last.wall, now)
+            self.carry_out(self.decide_tick(now))
+            await self.follow_up()
+            await asyncio.sleep(TICK_S)
+
+    async def follow_up(self) -> None:
+        """Do after each tick what needs other services."""
+
+
+__all__ = ["METRICS", "PLATFORM", "ROLE", "TRANSPORT", "Role"]
--- /dev/null
+++ b/src/balsamstream/daemon/run.py
@@ -0,0 +1,68 @@
+"""``balsamstreamd --settings FILE``: runs a balancer or an agent."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+from typing import TYPE_CHECKING
+
+import structlog
+from returns.result import Failure, Success
+
+from .daemon import Daemon
+from .logs import configure_logs
+from .settings import LogLevel, load_settings
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+EXIT_FAILED = 1
+EXIT_WRONG_SETTINGS = 2
+
+
+def run(arguments: Sequence[str] | None = None) -> None:
+    """Run until SIGTERM; exit with a status that tells how it ended."""
+    sys.exit(main(arguments))
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run until SIGTERM.
+
+    Parameters
+    ----------
+    arguments : sequence of str or None
+        Command line without the program's name; None for the process's own.
+
+    Returns
+    -------
+    int
+        Exit status: 0 after a graceful stop, 1 after a failure, 2 for settings that
+        are wrong.
+    """
+    parser = argparse.ArgumentParser(
+        prog="balsamstreamd",
+        description="Runs a balancer or an agent, as its settings say. SIGTERM stops "
+        "it gracefully, a second one at once; SIGHUP reads keys and log level again.",
+    )
+    parser.add_argument(
+        "--settings", required=True, metavar="FILE", help="YAML file with the settings"
+    )
+    path = parser.parse_args(arguments).settings
+    configure_logs(LogLevel.INFO)
+    log = structlog.get_logger("balsamstream.daemon")
+    match load_settings(path):
+        case Failure(problems):
+            for problem in problems:
+                log.error("wrong_settings", problem=str(problem))
+            return EXIT_WRONG_SETTINGS
+        case Success(settings):
+            configure_logs(settings.log_level)
+            return asyncio.run(Daemon(path, settings).run())
+    raise AssertionError("unreachable")
+
+
+if __name__ == "__main__":
+    run()
+
+__all__ = ["main", "run"]
--- /dev/null
+++ b/src/balsamstream/daemon/status.py
@@ -0,0 +1,96 @@
+"""HTTP pages for operators and probes: GET /status and /burn, as JSON."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+from balsamstream import VERSION
+from balsamstream.kernel import Service
+
+from .metrics import Metrics
+from .role import METRICS, ROLE, Role
+
+if TYPE_CHECKING:
+    from aiohttp import web
+
+    from balsamstream.kernel import Kernel
+
+    from .settings import Settings
+
+SHUTDOWN_S: Final = 0.2
+
+
+class StatusPage(Service):
+    """Serves what the role and the counters say.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Finds the role and the counters.
+    settings : Settings
+        Settings of the daemon.
+    """
+
+    def __init__(self, kernel: Kernel, settings: Settings) -> None:
+        self._kernel = kernel
+        self._settings = settings
+        self._started = time.monotonic()
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Begin to serve, where the settings name an address."""
+        address = self._settings.status_address
+        if address is None:
+            return
+        # Imported late: the module takes memory that a daemon without pages saves.
+        from aiohttp import web
+
+        application = web.Application(client_max_size=0)
+        application.add_routes(
+            [
+                web.get("/status", self._answer_status),
+                web.get("/burn", self._answer_burn),
+            ]
+        )
+        self._runner = web.AppRunner(
+            application, access_log=None, shutdown_timeout=SHUTDOWN_S
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, address.ip, address.port).start()
+
+    async def close(self) -> None:
+        """Stop serving."""
+        if self._runner is None:
+            return
+        await self._runner.cleanup()
+        self._runner = None
+
+    def describe(self) -> dict[str, Any]:
+        """Return the status page's content."""
+        role = self._kernel.find(ROLE, Role)  # type: ignore[type-abstract]
+        metrics = self._kernel.find(METRICS, Metrics)
+        return {
+            "version": VERSION,
+            "role": self._settings.role.value,
+            "name": role.ref.name,
+            "incarnation": role.ref.incarnation,
+            "address": str(role.transport.address),
+            "data_centre": self._settings.data_centre,
+            "uptime_s": round(time.monotonic() - self._started, 3),
+            **role.describe(),
+            "counters": metrics.counters,
+        }
+
+    async def _answer_status(self, _request: web.Request) -> web.Response:
+        from aiohttp import web
+
+        return web.json_response(self.describe())
+
+    async def _answer_burn(self, _request: web.Request) -> web.Response:
+        from aiohttp import web
+
+        return web.json_response({"services": {}})
+
+
+__all__ = ["StatusPage"]
--- /dev/null
+++ b/src/balsamstream/daemon/transport.py
@@ -0,0 +1,158 @@
+"""Messages between the processes of the system, sealed, over one UDP socket."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Final
+
+from balsamstream.core.identity import Address
+from balsamstream.kernel import Service
+from balsamstream.wire.codec import decode_message, encode_message
+from balsamstream.wire.error import MalformedMessage
+from balsamstream.wire.fragment import (
+    FRAGMENT_TYPE,
+    MOST_DATAGRAM_BYTES,
+    Reassembler,
+    split_message,
+)
+from balsamstream.wire.packet import ANSWER_TYPE, PACKET_TYPE, REFUSAL_TYPE
+from balsamstream.wire.seal import Key, Sealer, SealError, SecondClock
+
+from .datagram import DatagramSocket
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from balsamstream.core.identity import ProcessRef
+    from balsamstream.core.message import Message
+
+    from .metrics import Metrics
+    from .settings import Key as KeySettings
+
+MOST_SOURCES_CACHED: Final = 65_536
+_FRAGMENT_START: Final = bytes((FRAGMENT_TYPE,))
+_PACKET_PATH: Final = (PACKET_TYPE, ANSWER_TYPE, REFUSAL_TYPE)
+
+
+class Transport(Service):
+    """Seals and sends messages, opens and hands over those that arrive.
+
+    Parameters
+    ----------
+    ref : ProcessRef
+        This run of this process.
+    address : Address
+        Where messages arrive.
+    keys : sequence of settings.Key
+        The first seals, each opens.
+    metrics : Metrics
+        Counts what is refused.
+    """
+
+    def __init__(
+        self,
+        ref: ProcessRef,
+        address: Address,
+        keys: Sequence[KeySettings],
+        metrics: Metrics,
+    ) -> None:
+        self.address = address
+        self._clock = SecondClock(time.time(), time.monotonic())
+        self._sealer = Sealer(ref, address, _convert_keys(keys), self._clock)
+        self._metrics = metrics
+        self._socket = DatagramSocket("transport", address, self._take, metrics)
+        self._reassembler = Reassembler()
+        self._sources: dict[tuple[str, int], Address] = {}
+        self._fragmented = 0
+        self._receive: Callable[[Address, Message], None] | None = None
+        self._before_batch: Callable[[], None] | None = None
+
+    def connect(
+        self,
+        receive: Callable[[Address, Message], None],
+        before_batch: Callable[[], None],
+    ) -> None:
+        """Name who takes the messages, before the start.
+
+        Parameters
+        ----------
+        receive : callable
+            Takes a sender and its message.
+        before_batch : callable
+            Called before each batch of datagrams.
+        """
+        self._receive = receive
+        self._before_batch = before_batch
+
+    async def start(self) -> None:
+        """Bind the socket."""
+        if self._before_batch is None:
+            raise RuntimeError("the transport is not connected")
+        self._socket.open(self._before_batch)
+
+    async def close(self) -> None:
+        """Close the socket."""
+        self._socket.close()
+
+    def replace_keys(self, keys: Sequence[KeySettings]) -> None:
+        """Use other keys from now on."""
+        self._sealer.replace_keys(_convert_keys(keys))
+
+    def advance(self, wall: float, monotonic: float) -> None:
+        """Take the time, in seconds, and forget fragments that are too old."""
+        self._clock.advance(wall, monotonic)
+        self._reassembler.forget_old(monotonic)
+
+    def discard(self) -> int:
+        """Drop what is queued in the socket; return how many datagrams."""
+        return self._socket.discard()
+
+    def send(self, to: Address, message: Message) -> None:
+        """Send a message; one that can't be sent is counted."""
+        try:
+            data = encode_message(message)
+            if len(data) <= MOST_DATAGRAM_BYTES or data[0] in _PACKET_PATH:
+                self._socket.send(self._sealer.seal(to, data), to)
+                return
+            self._send_fragments(to, data)
+        except (MalformedMessage, OSError) as error:
+            self._metrics.note_loss("encode", error)
+
+    def _send_fragments(self, to: Address, data: bytes) -> None:
+        self._fragmented += 1
+        for fragment in split_message(data, self._fragmented):
+            self._socket.send(self._sealer.seal(to, fragment), to)
+
+    def _take(self, datagram: bytes, source: tuple[str, int]) -> None:
+        sender = self._sources.get(source) or self._note_source(source)
+        try:
+            data = self._sealer.open(sender, datagram)
+            if data.startswith(_FRAGMENT_START):
+                now = self._clock.monotonic_s
+                joined = self._reassembler.add(sender, data, now)
+                if joined is None:
+                    return
+                data = joined
+            message = decode_message(data)
+        except SealError as error:
+            self._metrics.note_loss(f"seal_{error.reason}", error)
+            return
+        except MalformedMessage as error:
+            self._metrics.note_loss("decode", error)
+            return
+        if self._receive is not None:
+            self._receive(sender, message)
+
+    def _note_source(self, source: tuple[str, int]) -> Address:
+        if len(self._sources) >= MOST_SOURCES_CACHED:
+            self._sources.clear()
+        address = Address(*source)
+        self._sources[source] = address
+        return address
+
+
+def _convert_keys(keys: Sequence[KeySettings]) -> list[Key]:
+    return [Key(key.id, key.secret) for key in keys]
+
+
+__all__ = ["Transport"]
--- a/src/balsamstream/kernel/__init__.py
+++ b/src/balsamstream/kernel/__init__.py
@@ -1,1 +1,9 @@
-"""A micro-kernel: services with explicit start and close, found by name."""
+"""Micro-kernel: services that find each other by name."""
+
+from __future__ import annotations
+
+from .kernel import Kernel, ServiceMissing
+from .mailbox import Mailbox
+from .service import Service
+
+__all__ = ["Kernel", "Mailbox", "Service", "ServiceMissing"]
