Let operators replace voters that died together

Cause: where two of three voters die at once, orders end as may-have-run for ever and no decision can know that the dead are dead. Ruled out: doing it by a timeout, which a partition would fool. The operator vouches; new voters wait 247 s first.

--- a/src/balsamstream/command/run.py
+++ b/src/balsamstream/command/run.py
@@ -21,6 +21,7 @@
 from .session import Form, Options, run_on_platform
 from .show import describe_object, get_objects
 from .status import show_status
+from .voters import reset_voters
 
 HELP: Final = """
 Declare profiles, services and data centre states, and see what runs.
@@ -44,6 +45,8 @@
 data_centre_app = App(name="datacentre", help="Take a data centre out or in.")
 app.command(host_app)
 app.command(data_centre_app)
+voters_app = App(name="voters", help="Replace voters that are dead for good.")
+app.command(voters_app)
 
 Common = Annotated[Options, Parameter(parse=False)]
 KindName = Literal[
@@ -210,6 +213,24 @@
     return run_on_platform(options, lambda c: change_data_centre(c, name, state))
 
 
+@voters_app.command(name="reset")
+def replace_voters(service: str, /, *, options: Common) -> Outcome:
+    """Give a service new voters after most of the old ones died together.
+
+    Only for a service whose orders all end as "may have run" because its voters are
+    gone. By calling this you vouch that no process of the old voters and no agent of
+    the service that could reach them still runs cut off from you: one that does could
+    run a request twice. The new voters wait 247 s, until copies of older requests
+    have died out, before requests that are not repeatable are taken again.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    """
+    return run_on_platform(options, lambda c: reset_voters(c, service))
+
+
 @app.command
 def report(
     *,
