Edit views in the tool by the decisions that the daemons use

Cause: draining a host by changing its state alone left the voters as they were, so the view differed from what an agent's own edit would have made. The tool now reads the view, takes the core's edit and writes it, with the balancers as spare voters. The core's reset of voters whose majority died had no way in; voters reset gives it one, on the operator's word only. Addresses are IPv4 alone, as the packet border is.

--- /dev/null
+++ b/src/balsamstream/command/datacentre.py
@@ -0,0 +1,60 @@
+"""Takes data centres out and in."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from returns.result import Failure, Success
+
+from ..config import DataCentreState, Kind
+from .fleet import find_data_centre, list_hosts
+from .outcome import ExitCode, Fault, Output, build_platform_fault
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ..platform import PlatformClient, StoredObject
+    from .outcome import Outcome
+
+
+async def change_data_centre(
+    client: PlatformClient, name: str, state: DataCentreState
+) -> Outcome:
+    """Change the state of a data centre, which has to be known."""
+    listed = await client.list_all()
+    if not isinstance(listed, Success):
+        subject = f"datacentre {name}"
+        return Failure(build_platform_fault(listed.failure(), subject))
+    known = _list_data_centres(listed.unwrap().objects)
+    if name not in known:
+        names = ", ".join(sorted(known)) or "none"
+        line = f"there is no data centre {name}, known are: {names}"
+        return Failure(Fault(ExitCode.MISSING, (line,)))
+    before: list[object] = []
+
+    def set_state(stored: StoredObject | None) -> dict[str, Any] | None:
+        held = stored.spec.get("state") if stored else DataCentreState.IN.value
+        before.append(held)
+        if stored is not None and held == state.value:
+            return None
+        return {"state": state.value}
+
+    result = await client.change(Kind.DATA_CENTRE, name, set_state)
+    if not isinstance(result, Success):
+        subject = f"datacentre {name}"
+        return Failure(build_platform_fault(result.failure(), subject))
+    changed = before[-1] != state.value
+    value = {"name": name, "state": state.value, "changed": changed}
+    verb = "is now" if changed else "was already"
+    return Success(Output(value, lines=(f"data centre {name} {verb} {state.value}",)))
+
+
+def _list_data_centres(objects: Iterable[StoredObject]) -> set[str]:
+    items = tuple(objects)
+    names = {item.name for item in items if item.kind is Kind.DATA_CENTRE}
+    names.update(host.data_centre for host in list_hosts(items))
+    names.update(find_data_centre(i) for i in items if i.kind is Kind.BALANCER)
+    return names - {""}
+
+
+__all__ = ["change_data_centre"]
--- a/src/balsamstream/command/fleet.py
+++ b/src/balsamstream/command/fleet.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import copy
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from ..config import Kind
+from ..core.identity import ProcessRef, parse_address
+from ..core.view import Voter
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -57,6 +58,7 @@
 
 
 class _BalancerModel(_Model):
+    incarnation: int = 0
     address: str = ""
     data_centre: str = ""
 
@@ -94,14 +96,20 @@
         return ""
 
 
-def set_member_state(spec: dict[str, Any], name: str, state: str) -> dict[str, Any]:
-    """Build a view's content with one member in another state."""
-    changed = copy.deepcopy(spec)
-    for member in changed.get("members", []):
-        if member.get("name") == name:
-            member["state"] = state
-    changed["number"] = changed.get("number", 0) + 1
-    return changed
+def list_spare_voters(objects: Iterable[StoredObject]) -> tuple[Voter, ...]:
+    """List the balancers as voters, leaving out those that can't be read."""
+    voters: list[Voter] = []
+    for item in objects:
+        if item.kind is not Kind.BALANCER:
+            continue
+        try:
+            model = _BalancerModel.model_validate(item.spec)
+            address = parse_address(model.address)
+        except ValueError:
+            continue
+        ref = ProcessRef(item.name, model.incarnation)
+        voters.append(Voter(ref, address, model.data_centre))
+    return tuple(voters)
 
 
-__all__ = ["Host", "find_data_centre", "list_hosts", "set_member_state"]
+__all__ = ["Host", "find_data_centre", "list_hosts", "list_spare_voters"]
--- a/src/balsamstream/command/run.py
+++ b/src/balsamstream/command/run.py
@@ -7,20 +7,24 @@
 from typing import Annotated, Any, Final, Literal
 
 from cyclopts import App, Parameter
+from cyclopts.validators import Number
 from returns.result import Success
 
 from .. import VERSION
 from ..config import DataCentreState, Kind, find_kind
+from ..core.view import MemberState
 from .apply import apply_files
-from .change import ACTIVE, DRAINING, change_data_centre, change_host
 from .check import check_files
+from .datacentre import change_data_centre
 from .delete import delete_object
+from .host import change_host
 from .outcome import Outcome, Output
 from .printer import show_outcome
 from .report import report_burn
 from .session import Form, Options, run_on_platform
 from .show import describe_object, get_objects
 from .status import show_status
+from .voters import QUARANTINE_S, reset_voters
 
 HELP: Final = """
 Declare profiles, services and data centre states, and see what runs.
@@ -43,7 +47,9 @@
 host_app = App(name="host", help="Drain a host, or let it work again.")
 data_centre_app = App(name="datacentre", help="Take a data centre out or in.")
 app.command(host_app)
+voters_app = App(name="voters", help="Replace a service's voters that are dead.")
 app.command(data_centre_app)
+app.command(voters_app)
 
 Common = Annotated[Options, Parameter(parse=False)]
 KindName = Literal[
@@ -165,7 +171,8 @@
     service : str
         Service of the host; needed only where several have a host of this name.
     """
-    return run_on_platform(options, lambda c: change_host(c, name, DRAINING, service))
+    state = MemberState.DRAINING
+    return run_on_platform(options, lambda c: change_host(c, name, state, service))
 
 
 @host_app.command(name="undrain")
@@ -181,7 +188,8 @@
     service : str
         Service of the host; needed only where several have a host of this name.
     """
-    return run_on_platform(options, lambda c: change_host(c, name, ACTIVE, service))
+    state = MemberState.ACTIVE
+    return run_on_platform(options, lambda c: change_host(c, name, state, service))
 
 
 @data_centre_app.command(name="out")
@@ -210,6 +218,35 @@
     return run_on_platform(options, lambda c: change_data_centre(c, name, state))
 
 
+@voters_app.command(name="reset")
+def reset_service_voters(
+    service: str,
+    /,
+    *,
+    quarantine_s: Annotated[float, Parameter(validator=Number(gte=0))] = QUARANTINE_S,
+    they_are_dead: bool = False,
+    options: Common,
+) -> Outcome:
+    """Give a service new voters after a majority of the old ones died.
+
+    Needed only where requests that may not be repeated are refused for lack of
+    voters, and the hosts and balancers that voted will not come back. Repeatable
+    requests go on without voters.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    quarantine_s : float
+        Time without grants, in seconds, in which copies of earlier requests die out.
+    they_are_dead : bool
+        Your word that the old voters run no more; without it nothing is done.
+    """
+    return run_on_platform(
+        options, lambda c: reset_voters(c, service, quarantine_s, they_are_dead)
+    )
+
+
 @app.command
 def report(
     *,
--- a/src/balsamstream/config/address.py
+++ b/src/balsamstream/config/address.py
@@ -16,7 +16,7 @@
     Attributes
     ----------
     ip : str
-        IPv4 or IPv6 number in its shortest text form.
+        IPv4 number.
     port : int
         1 to 65535.
     """
@@ -25,14 +25,12 @@
     port: int
 
     def __str__(self) -> str:
-        """Write the address as ``ip:port``, with brackets around IPv6."""
-        if ":" in self.ip:
-            return f"[{self.ip}]:{self.port}"
+        """Write the address as ``ip:port``."""
         return f"{self.ip}:{self.port}"
 
 
 def parse_address(text: str) -> Result[Address, str]:
-    """Read ``ip:port`` or ``[ip]:port``.
+    """Read ``ip:port``.
 
     Parameters
     ----------
@@ -47,12 +45,10 @@
     ip_text, separator, port_text = text.rpartition(":")
     if not separator:
         return Failure(f"{text!r} has no port, write it as IP:PORT")
-    if ip_text.startswith("[") and ip_text.endswith("]"):
-        ip_text = ip_text[1:-1]
     try:
-        ip = ipaddress.ip_address(ip_text)
+        ip = ipaddress.IPv4Address(ip_text)
     except ValueError:
-        return Failure(f"{ip_text!r} is not an IP number")
+        return Failure(f"{ip_text!r} is not an IPv4 number")
     if not (port_text.isascii() and port_text.isdigit()):
         return Failure(f"{port_text!r} is not a port number")
     port = int(port_text)
--- a/tests/command/samples.py
+++ b/tests/command/samples.py
@@ -50,7 +50,12 @@
         }
         for number, data_centre in [(1, "medina"), (2, "thyna")]
     ]
-    return {"number": 7, "members": members, "voter_sets": [{"epoch": 1}]}
+    voters = [
+        {key: value for key, value in member.items() if key not in ("slots", "state")}
+        for member in members[:1]
+    ]
+    voter_set = {"epoch": 1, "quarantine_s": 0.0, "voters": voters}
+    return {"number": 7, "members": members, "voter_sets": [voter_set]}
 
 
 async def read_spec(client: PlatformClient, kind: Kind, name: str) -> dict[str, Any]:
--- a/tests/command/test_operations.py
+++ b/tests/command/test_operations.py
@@ -3,20 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from balsamstream.command.apply import apply_files
-from balsamstream.command.change import (
-    ACTIVE,
-    DRAINING,
-    change_data_centre,
-    change_host,
-)
+from balsamstream.command.datacentre import change_data_centre
 from balsamstream.command.delete import delete_object
+from balsamstream.command.host import change_host
 from balsamstream.command.outcome import ExitCode
 from balsamstream.command.show import describe_object, get_objects
 from balsamstream.command.status import show_status
+from balsamstream.command.voters import reset_voters
 from balsamstream.config import DataCentreState, Kind
+from balsamstream.core.view import MemberState
 from tests.command.samples import (
     DATA_CENTRE,
     PROFILE,
@@ -35,15 +33,17 @@
     async def run() -> None:
         async with open_platform() as (_, url), open_client(url) as client:
             await client.create(Kind.VIEW, "comptoir", build_view())
-            outcome = await change_host(client, "comptoir-2", DRAINING)
+            outcome = await change_host(client, "comptoir-2", MemberState.DRAINING)
             assert outcome.unwrap().value["changed"] is True
             expected = build_view()
             expected["number"] = 8
             expected["members"][1]["state"] = "draining"
             assert await read_spec(client, Kind.VIEW, "comptoir") == expected
-            again = await change_host(client, "comptoir-2", DRAINING, "comptoir")
+            again = await change_host(
+                client, "comptoir-2", MemberState.DRAINING, "comptoir"
+            )
             assert again.unwrap().value["changed"] is False
-            await change_host(client, "comptoir-2", ACTIVE)
+            await change_host(client, "comptoir-2", MemberState.ACTIVE)
             view = await read_spec(client, Kind.VIEW, "comptoir")
             assert (view["number"], view["members"][1]["state"]) == (9, "active")
 
@@ -60,10 +60,10 @@
             codes = [
                 (await change_host(client, *arguments)).failure().code
                 for arguments in [
-                    ("comptoir-1", DRAINING, "comptoir"),
-                    ("comptoir-1", DRAINING),
-                    ("comptoir-9", DRAINING),
-                    ("comptoir-1", DRAINING, "guides"),
+                    ("comptoir-1", MemberState.DRAINING, "comptoir"),
+                    ("comptoir-1", MemberState.DRAINING),
+                    ("comptoir-9", MemberState.DRAINING),
+                    ("comptoir-1", MemberState.DRAINING, "guides"),
                 ]
             ]
             missing = ExitCode.MISSING
@@ -77,12 +77,50 @@
         async with open_platform() as (platform, url), open_client(url) as client:
             await client.create(Kind.VIEW, "comptoir", build_view())
             platform.faults.lose_answers = 1
-            await change_host(client, "comptoir-2", DRAINING)
+            await change_host(client, "comptoir-2", MemberState.DRAINING)
             assert (await read_spec(client, Kind.VIEW, "comptoir"))["number"] == 8
 
     asyncio.run(run())
 
 
+def test_drained_voter_is_replaced_as_the_daemons_would() -> None:
+    async def run() -> None:
+        async with open_platform() as (_, url), open_client(url) as client:
+            view = build_view()
+            view["voter_sets"] = [
+                {"epoch": 4, "quarantine_s": 0.0, "voters": [build_voter(view, 1)]}
+            ]
+            await client.create(Kind.VIEW, "comptoir", view)
+            await change_host(client, "comptoir-2", MemberState.DRAINING)
+            spec = await read_spec(client, Kind.VIEW, "comptoir")
+            assert [item["epoch"] for item in spec["voter_sets"]] == [4, 5]
+            assert spec["voter_sets"][1]["voters"] == [build_voter(view, 0)]
+
+    asyncio.run(run())
+
+
+def build_voter(view: dict[str, Any], position: int) -> dict[str, Any]:
+    kept = ("name", "incarnation", "address", "data_centre")
+    return {key: view["members"][position][key] for key in kept}
+
+
+def test_voters_are_reset_only_on_the_operators_word() -> None:
+    async def run() -> None:
+        async with open_platform() as (_, url), open_client(url) as client:
+            await client.create(Kind.VIEW, "comptoir", build_view())
+            refused = await reset_voters(client, "comptoir", 300.0, False)
+            assert refused.failure().code is ExitCode.USAGE
+            assert await read_spec(client, Kind.VIEW, "comptoir") == build_view()
+            (await reset_voters(client, "comptoir", 300.0, True)).unwrap()
+            spec = await read_spec(client, Kind.VIEW, "comptoir")
+            (newest,) = spec["voter_sets"]
+            assert (newest["epoch"], newest["quarantine_s"]) == (2, 300.0)
+            missing = await reset_voters(client, "guides", 300.0, True)
+            assert missing.failure().code is ExitCode.MISSING
+
+    asyncio.run(run())
+
+
 def test_data_centre_goes_out_and_in_if_known() -> None:
     async def run() -> None:
         async with open_platform() as (_, url), open_client(url) as client:
--- a/tests/config/test_file.py
+++ b/tests/config/test_file.py
@@ -111,6 +111,7 @@
         (COMPTOIR.replace("127.0.0.1:5683", "localhost:5683"), 4, "spec.address"),
         (COMPTOIR.replace("5683", "70000"), 4, "spec.address"),
         ("a: &a [*a]", 1, "a"),
+        (COMPTOIR.replace("127.0.0.1:5683", "[::1]:5683"), 4, "spec.address"),
     ],
 )
 def test_refuses_a_wrong_document(
