--- a/src/balsamstream/command/run.py
+++ b/src/balsamstream/command/run.py
@@ -7,7 +7,6 @@
 from typing import Annotated, Any, Final, Literal
 
 from cyclopts import App, Parameter
-from cyclopts.validators import Number
 from returns.result import Success
 
 from .. import VERSION
@@ -24,7 +23,7 @@
 from .session import Form, Options, run_on_platform
 from .show import describe_object, get_objects
 from .status import show_status
-from .voters import QUARANTINE_S, reset_voters
+from .voters import reset_voters
 
 HELP: Final = """
 Declare profiles, services and data centre states, and see what runs.
@@ -47,8 +46,8 @@
 host_app = App(name="host", help="Drain a host, or let it work again.")
 data_centre_app = App(name="datacentre", help="Take a data centre out or in.")
 app.command(host_app)
-voters_app = App(name="voters", help="Replace a service's voters that are dead.")
 app.command(data_centre_app)
+voters_app = App(name="voters", help="Replace voters that are dead for good.")
 app.command(voters_app)
 
 Common = Annotated[Options, Parameter(parse=False)]
@@ -219,32 +218,21 @@
 
 
 @voters_app.command(name="reset")
-def reset_service_voters(
-    service: str,
-    /,
-    *,
-    quarantine_s: Annotated[float, Parameter(validator=Number(gte=0))] = QUARANTINE_S,
-    they_are_dead: bool = False,
-    options: Common,
-) -> Outcome:
-    """Give a service new voters after a majority of the old ones died.
+def replace_voters(service: str, /, *, options: Common) -> Outcome:
+    """Give a service new voters after most of the old ones died together.
 
-    Needed only where requests that may not be repeated are refused for lack of
-    voters, and the hosts and balancers that voted will not come back. Repeatable
-    requests go on without voters.
+    Only for a service whose orders all end as "may have run" because its voters are
+    gone. By calling this you vouch that no process of the old voters and no agent of
+    the service that could reach them still runs cut off from you: one that does could
+    run a request twice. The new voters wait 247 s, until copies of older requests
+    have died out, before requests that are not repeatable are taken again.
 
     Parameters
     ----------
     service : str
         Name of the service.
-    quarantine_s : float
-        Time without grants, in seconds, in which copies of earlier requests die out.
-    they_are_dead : bool
-        Your word that the old voters run no more; without it nothing is done.
     """
-    return run_on_platform(
-        options, lambda c: reset_voters(c, service, quarantine_s, they_are_dead)
-    )
+    return run_on_platform(options, lambda c: reset_voters(c, service))
 
 
 @app.command
--- a/src/balsamstream/command/voters.py
+++ b/src/balsamstream/command/voters.py
@@ -1,50 +1,40 @@
-"""Replaces the voters of a service whose majority is dead."""
+"""Replaces the voters of a service that can no longer be asked."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Final
 
-from returns.result import Failure, Success
+from returns.result import Success
 
 from ..core.view import ResetVoters
-from .outcome import ExitCode, Fault, Output
+from .outcome import Output
 from .view import edit_service_view
 
 if TYPE_CHECKING:
     from ..platform import PlatformClient
     from .outcome import Outcome
 
-# Longer than copies of one request live: RFC 7252 EXCHANGE_LIFETIME is 247 s.
-QUARANTINE_S: Final = 300.0
+QUARANTINE_S: Final = 247.0
+"""EXCHANGE_LIFETIME of RFC 7252: copies of older requests are gone by then."""
 
 
-async def reset_voters(
-    client: PlatformClient, service: str, quarantine_s: float, are_dead: bool
-) -> Outcome:
-    """Replace the voters; the new ones grant nothing during the quarantine.
+async def reset_voters(client: PlatformClient, service: str) -> Outcome:
+    """Give a service new voters that know nothing of earlier requests.
 
     Parameters
     ----------
     client : PlatformClient
         The platform.
     service : str
-        The service.
-    quarantine_s : float
-        Time without grants, in seconds.
-    are_dead : bool
-        The operator's word that a majority of the old voters runs no more.
+        Name of the service.
     """
-    if not are_dead:
-        lines = (
-            "while the old voters run, a request could run twice",
-            "stop them first, then give --they-are-dead",
-        )
-        return Failure(Fault(ExitCode.USAGE, lines))
-    result = await edit_service_view(
-        client, service, lambda _view: Success(ResetVoters(quarantine_s))
+    reset = ResetVoters(QUARANTINE_S)
+    result = await edit_service_view(client, service, lambda _view: Success(reset))
+    value = {"service": service, "quarantine_s": QUARANTINE_S}
+    line = (
+        f"service {service} has new voters; requests that are not repeatable are "
+        f"taken again in {QUARANTINE_S:.0f} s"
     )
-    value = {"service": service, "quarantine_s": quarantine_s}
-    line = f"service {service} has new voters, which begin in {quarantine_s:g} s"
     return result.map(lambda _changed: Output(value, lines=(line,)))
 
 
