--- a/src/balsamstream/report/record.py
+++ b/src/balsamstream/report/record.py
@@ -97,9 +97,9 @@
         """Count a request without an answer that may have run."""
         self._find_slot(service, now).may_have_run += 1
 
-    def count_broken_flow(self, service: str, now: float) -> None:
-        """Count a flow that was lost."""
-        self._find_slot(service, now).broken_flows += 1
+    def count_broken_flows(self, service: str, now: float, flows: int = 1) -> None:
+        """Count flows that were lost."""
+        self._find_slot(service, now).broken_flows += flows
 
     def build_page(self, now: float) -> BurnPage:
         """Build the page for the hour up to `now`."""
--- a/tests/report/test_record.py
+++ b/tests/report/test_record.py
@@ -39,7 +39,7 @@
     record.count_answer("comptoir", 0.1001, START_S + 9.99)
     record.count_refusal("comptoir", START_S + 10)
     record.count_unknown("comptoir", START_S + 10)
-    record.count_broken_flow("comptoir", START_S + 10)
+    record.count_broken_flows("comptoir", START_S + 10)
     first, second = only(record.build_page(START_S + 20)).slots
     assert (first.answered, first.in_time, sum(first.latency)) == (2, 1, 2)
     assert (second.refused_not_run, second.may_have_run) == (1, 1)
