--- /dev/null
+++ b/bench/packets.py
@@ -0,0 +1,326 @@
+"""Case 5: cost of a packet in one balancer against a bare relay."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import socket
+import statistics
+import time
+from random import Random
+from typing import TYPE_CHECKING, Any, Final
+
+import xxhash
+
+from balsamstream.core.balancer import BalancerConfig, BalancerDecisions
+from balsamstream.core.catalogue import number_service, write_view
+from balsamstream.core.identity import Address, FlowKey, ProcessRef, RequestKey
+from balsamstream.core.message import (
+    Answer,
+    Changes,
+    ConfigObject,
+    RequestKind,
+    ReturnToCaller,
+    Send,
+)
+from balsamstream.core.routing import RoutingVersion, compute_flow_key
+from balsamstream.core.view import Member, View
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+SERVICE: Final = "comptoir"
+HOSTS: Final = 7
+PAYLOAD_BYTES: Final = 128
+BATCH: Final = 64
+BATCHES: Final = 400
+ROUNDS: Final = 9
+CALLS: Final = 40_000
+FLOW_COUNTS: Final = (1_000, 10_000, 100_000, 300_000)
+ELSEWHERE_SHARE: Final = 0.5
+"""Share of flows that two choices put on another host than their bucket's owner."""
+
+
+class Rig:
+    """One balancer that knows one service, and callers with flows.
+
+    Parameters
+    ----------
+    sink : Address
+        Address of all hosts.
+    """
+
+    def __init__(self, flows: int, seed: int, ports: list[int]) -> None:
+        self.random = Random(seed)
+        self.balancer = _build_balancer(ports)
+        entry = self.balancer.catalogue.find_service(SERVICE)
+        assert entry is not None
+        self.entry = entry
+        self.callers = [_build_caller(number) for number in range(flows)]
+        self.flows = [compute_flow_key(SERVICE, caller) for caller in self.callers]
+        self.number = number_service(SERVICE)
+        self.version = RoutingVersion(1, 0)
+        self.payload = bytes(PAYLOAD_BYTES)
+        self.holders = [self._choose_holder(flow) for flow in self.flows]
+        for position in range(flows):
+            self.take_answer(position, 100.0)
+
+    def route(self, position: int, now: float) -> Send:
+        """Route one datagram of a flow."""
+        actions = self.balancer.route(
+            self.entry,
+            self.flows[position],
+            self.callers[position],
+            RequestKind.REPEATABLE,
+            RequestKey(position + 1),
+            self.payload,
+            now,
+        )
+        send = actions[0]
+        assert isinstance(send, Send)
+        return send
+
+    def take_answer(self, position: int, now: float) -> ReturnToCaller:
+        """Take the answer to one datagram of a flow."""
+        answer = Answer(
+            self.number,
+            self.flows[position],
+            self.callers[position],
+            self.version,
+            self.payload,
+        )
+        told = self.balancer.receive(self.holders[position], answer, now)[0]
+        assert isinstance(told, ReturnToCaller)
+        return told
+
+    def draw_positions(self, count: int) -> list[int]:
+        """Draw flows."""
+        return [self.random.randrange(len(self.flows)) for _ in range(count)]
+
+    def _choose_holder(self, flow: FlowKey) -> Address:
+        ranked = self.balancer.find_routing(self.entry).rank(flow)
+        position = 1 if self.random.random() < ELSEWHERE_SHARE else 0
+        return ranked[position].address
+
+
+def _build_caller(number: int) -> Address:
+    low = number & 255
+    return Address(f"10.{number >> 16 & 255}.{number >> 8 & 255}.{low}", 40_000)
+
+
+def _build_balancer(ports: list[int]) -> BalancerDecisions:
+    config = BalancerConfig(
+        ProcessRef("balancer-1", 1), Address("127.0.0.1", 6001), "medina"
+    )
+    balancer = BalancerDecisions(config, Random(1))
+    members = tuple(
+        Member(
+            ProcessRef(f"{SERVICE}-{number}", 1),
+            Address("127.0.0.1", port),
+            "medina",
+            2,
+        )
+        for number, port in enumerate(ports)
+    )
+    spec = {"address": "127.0.0.1:5683", "profile": "counter"}
+    objects = (
+        ConfigObject("Profile", "counter", 1, {}),
+        ConfigObject("Service", SERVICE, 2, spec),
+        ConfigObject("View", SERVICE, 3, write_view(View(SERVICE, 1, members))),
+    )
+    changes = Changes(0, 3, True, False, objects)
+    balancer.receive(config.address, changes, 100.0)
+    return balancer
+
+
+def time_calls(call: Callable[[int, float], object], positions: list[int]) -> float:
+    """Return the time of one call in microseconds."""
+    now = 200.0
+    began = time.perf_counter()
+    for position in positions:
+        call(position, now)
+    return (time.perf_counter() - began) / len(positions) * 1e6
+
+
+def time_loop(positions: list[int]) -> float:
+    """Return the time of a call that does nothing."""
+    return time_calls(lambda position, now: None, positions)
+
+
+def measure_decisions(flows: int, seed: int) -> dict[str, Any]:
+    """Time the decisions on packets and answers at a number of flows."""
+    rig = Rig(flows, seed, list(range(7001, 7001 + HOSTS)))
+    routes: list[float] = []
+    answers: list[float] = []
+    gc.collect()
+    gc.freeze()
+    for _ in range(ROUNDS):
+        positions = rig.draw_positions(CALLS)
+        idle = time_loop(positions)
+        routes.append(time_calls(rig.route, positions) - idle)
+        answers.append(time_calls(rig.take_answer, positions) - idle)
+    gc.unfreeze()
+    return {
+        "flows": flows,
+        "hints": rig.balancer.hint_count,
+        "route_us": round(statistics.median(routes), 2),
+        "answer_us": round(statistics.median(answers), 2),
+    }
+
+
+class Loopback:
+    """A caller's socket, a relay's socket and the hosts' sockets in one process."""
+
+    def __init__(self) -> None:
+        self.front = _open_socket()
+        self.caller = _open_socket()
+        self.hosts = [_open_socket() for _ in range(HOSTS)]
+        self.ports = [held.getsockname()[1] for held in self.hosts]
+
+    def close(self) -> None:
+        """Close all sockets."""
+        for held in (self.front, self.caller, *self.hosts):
+            held.close()
+
+    def send_batch(self, payloads: list[bytes]) -> None:
+        """Send datagrams to the relay."""
+        address = self.front.getsockname()
+        for payload in payloads:
+            self.caller.sendto(payload, address)
+
+    def drain_hosts(self) -> int:
+        """Read what the relay sent to the hosts."""
+        count = 0
+        for held in self.hosts:
+            while True:
+                try:
+                    held.recv(2_048)
+                except BlockingIOError:
+                    break
+                count += 1
+        return count
+
+
+def _open_socket() -> socket.socket:
+    held = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    held.setblocking(False)
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+    held.bind(("127.0.0.1", 0))
+    return held
+
+
+async def time_relay(
+    loopback: Loopback,
+    choose: Callable[[bytes], tuple[bytes, Address]],
+    batches: list[list[bytes]],
+) -> float:
+    """Return microseconds for each datagram that a relay drains and sends on."""
+    loop = asyncio.get_running_loop()
+    front = loopback.front
+    done = asyncio.Event()
+
+    def drain() -> None:
+        for _ in range(BATCH):
+            try:
+                data, _ = front.recvfrom(2_048)
+            except BlockingIOError:
+                break
+            passed, address = choose(data)
+            front.sendto(passed, address)
+        done.set()
+
+    loop.add_reader(front.fileno(), drain)
+    spent = 0.0
+    passed = 0
+    for batch in batches:
+        loopback.send_batch(batch)
+        done.clear()
+        began = time.perf_counter()
+        await done.wait()
+        spent += time.perf_counter() - began
+        passed += loopback.drain_hosts()
+    loop.remove_reader(front.fileno())
+    return spent / passed * 1e6
+
+
+def build_bare(loopback: Loopback) -> Callable[[bytes], tuple[bytes, Address]]:
+    """Build a relay that hashes and forwards."""
+    hosts = [Address("127.0.0.1", port) for port in loopback.ports]
+
+    def choose(data: bytes) -> tuple[bytes, Address]:
+        return data, hosts[xxhash.xxh3_64_intdigest(data[:8]) % HOSTS]
+
+    return choose
+
+
+def build_deciding(rig: Rig) -> Callable[[bytes], tuple[bytes, Address]]:
+    """Build a relay that hashes the flow and asks the balancer's decisions."""
+    callers = rig.callers
+    balancer = rig.balancer
+
+    def choose(data: bytes) -> tuple[bytes, Address]:
+        position = int.from_bytes(data[:8])
+        caller = callers[position]
+        flow = compute_flow_key(SERVICE, caller)
+        request = RequestKey(xxhash.xxh3_64_intdigest(data))
+        kind = RequestKind.REPEATABLE
+        actions = balancer.route(rig.entry, flow, caller, kind, request, data, 200.0)
+        send = actions[0]
+        assert isinstance(send, Send)
+        return data, send.to
+
+    return choose
+
+
+def measure_relays(flows: int, seed: int) -> dict[str, Any]:
+    """Time a bare relay and one with our decisions in turns."""
+    loopback = Loopback()
+    rig = Rig(flows, seed, loopback.ports)
+    bare = build_bare(loopback)
+    deciding = build_deciding(rig)
+    times: list[tuple[float, float]] = []
+    for _ in range(ROUNDS):
+        batches = _draw_batches(rig)
+        first = asyncio.run(time_relay(loopback, bare, batches))
+        second = asyncio.run(time_relay(loopback, deciding, batches))
+        times.append((first, second))
+    loopback.close()
+    ratios = [first / second for first, second in times]
+    return {
+        "flows": flows,
+        "bare_us": round(statistics.median(first for first, _ in times), 2),
+        "deciding_us": round(statistics.median(second for _, second in times), 2),
+        "rate_ratio": round(statistics.median(ratios), 3),
+        "rate_ratio_least": round(min(ratios), 3),
+        "rate_ratio_most": round(max(ratios), 3),
+    }
+
+
+def _draw_batches(rig: Rig) -> list[list[bytes]]:
+    fill = bytes(PAYLOAD_BYTES - 8)
+    return [
+        [position.to_bytes(8) + fill for position in rig.draw_positions(BATCH)]
+        for _ in range(BATCHES)
+    ]
+
+
+def measure(seed: int) -> Iterator[dict[str, Any]]:
+    """Measure the decisions alone and behind sockets."""
+    costs = [measure_decisions(flows, seed) for flows in FLOW_COUNTS]
+    first, last = costs[0], costs[-1]
+    yield {
+        "case": "packets",
+        "part": "decisions alone",
+        "costs": costs,
+        "route_growth": round(last["route_us"] / first["route_us"], 3),
+        "answer_growth": round(last["answer_us"] / first["answer_us"], 3),
+    }
+    for flows in (FLOW_COUNTS[0], FLOW_COUNTS[-1]):
+        yield {
+            "case": "packets",
+            "part": "sockets and decisions, without codec and edge",
+            **measure_relays(flows, seed),
+        }
+
+
+__all__ = ["measure", "measure_decisions", "measure_relays"]
--- /dev/null
+++ b/bench/run.py
@@ -0,0 +1,44 @@
+"""Runs the measurements and prints one line of JSON for each."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+from . import broken, cold, imbalance, outage, packets
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+CASES: Final[dict[str, Callable[[int], Iterator[dict[str, Any]]]]] = {
+    "imbalance": imbalance.measure,
+    "broken": broken.measure,
+    "cold": cold.measure,
+    "outage": outage.measure,
+    "packets": packets.measure,
+}
+
+
+def run(arguments: list[str]) -> int:
+    """Run the cases that were asked for, all by default."""
+    parser = argparse.ArgumentParser(prog="python -m bench.run")
+    parser.add_argument("--case", choices=sorted(CASES), action="append")
+    parser.add_argument("--seed", type=int, default=1)
+    asked = parser.parse_args(arguments)
+    for name in asked.case or CASES:
+        began = time.monotonic()
+        for line in CASES[name](asked.seed):
+            line["seed"] = asked.seed
+            line["took_s"] = round(time.monotonic() - began, 1)
+            print(json.dumps(line), flush=True)
+            began = time.monotonic()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(run(sys.argv[1:]))
+
+__all__ = ["CASES", "run"]
