Pin flows to an incarnation and follow a refused placement

Cause: an owner pinned flows to a host's name. After that host restarted, its flows came back to it while cold; it refused them, passed some on, and the owner's pin still named it. Once its limit had risen it took such a flow a second time.

Ruled out: lost pages of the report after a routing change (owners were in sync at each broken flow) and the holder question timing out.

Change: pins name the incarnation; a host that passed a placed flow on keeps passing it there and tells the owner.

--- a/src/balsamstream/core/ownership.py
+++ b/src/balsamstream/core/ownership.py
@@ -87,7 +87,7 @@
 
     def __init__(self, state: AgentState) -> None:
         self._state = state
-        self._pins: OrderedDict[FlowKey, str] = OrderedDict()
+        self._pins: OrderedDict[FlowKey, ProcessRef] = OrderedDict()
         self._asked: dict[FlowKey, _Asked] = {}
         self._reporting: dict[ProcessRef, _Reporting] = {}
         self._acted: OrderedDict[FlowKey, tuple[ProcessRef, float]] = OrderedDict()
@@ -101,7 +101,8 @@
 
     def find_pin(self, flow: FlowKey) -> str | None:
         """Return the host that a flow was placed on, as far as known here."""
-        return self._pins.get(flow)
+        pinned = self._pins.get(flow)
+        return None if pinned is None else pinned.name
 
     def start_sync(self, now: float) -> list[Action]:
         """Ask each reachable member for the flows of the buckets owned here."""
@@ -139,8 +140,9 @@
         asked = self._asked.get(reply.flow)
         if asked is None:
             return []
-        if reply.holder is not None and self._find_member(reply.holder) is not None:
-            self._pin(reply.flow, reply.holder)
+        holder = None if reply.holder is None else self._find_member(reply.holder)
+        if holder is not None:
+            self._pin(reply.flow, holder.ref)
             return self._release(reply.flow, now)
         asked.awaited.discard(reply.member)
         if asked.awaited:
@@ -151,7 +153,7 @@
         """Say whether a flow is held here, or on which host it was placed."""
         state = self._state
         name = state.config.ref.name
-        holder = name if ask.flow in state.flows else self._pins.get(ask.flow)
+        holder = name if ask.flow in state.flows else self.find_pin(ask.flow)
         return HolderReply(state.config.service, ask.flow, state.config.ref, holder)
 
     def answer_report(self, ask: ReportAsk) -> ReportReply | None:
@@ -182,7 +184,7 @@
         """Pin the flows that a member reports."""
         for flow in reply.flows:
             if flow not in self._state.flows:
-                self._pin(flow, reply.holder.name)
+                self._pin(flow, reply.holder)
         owed = self._reporting.get(reply.holder)
         if owed is None or reply.version != self._state.routing.version:
             return []
@@ -230,6 +232,10 @@
         return Send(owed.member.address, ask)
 
     def _take_placed(self, packet: Packet, now: float) -> Placement:
+        pinned = self._find_pinned(packet.flow, now)
+        if pinned is not None:
+            # Refused here before and passed on; the owner may not know it yet.
+            return self._pass(packet, pinned, PacketFlag.PLACED, "passed_to_holder")
         admission = self._state.admission
         if admission is None:
             return Placement(packet, Place.REFUSE)
@@ -251,9 +257,24 @@
             best, best_load = member, load
         if best is None or not self._budget.take():
             return Placement(packet, Place.REFUSE, (Count("placed_refused"),))
-        self._pin(packet.flow, best.ref.name)
+        self._pin(packet.flow, best.ref)
         self._state.loads.count_placed(best.ref.name)
-        return self._pass(packet, best, PacketFlag.PLACED, "placed_again")
+        passed = self._pass(packet, best, PacketFlag.PLACED, "placed_again")
+        return replace(passed, actions=(*passed.actions, *self._tell_pin(packet.flow)))
+
+    def _tell_pin(self, flow: FlowKey) -> list[Send]:
+        """Tell a flow's owner, whose pin names this host, where it went instead."""
+        owner = self._state.routing.find_owner(flow)
+        if owner is None or owner.ref == self._state.config.ref:
+            return []
+        return [self._build_note(owner, self._pins[flow], (flow,))]
+
+    def _build_note(
+        self, owner: Member, holder: ProcessRef, flows: tuple[FlowKey, ...]
+    ) -> Send:
+        service = self._state.config.service
+        note = ReportReply(service, NO_VERSION, holder, FIRST, False, flows)
+        return Send(owner.address, note)
 
     def _pass(
         self, packet: Packet, member: Member, flags: PacketFlag, counter: str
@@ -268,18 +289,19 @@
         return self._state.routing.find_reachable(name)
 
     def _find_pinned(self, flow: FlowKey, now: float) -> Member | None:
-        name = self._pins.get(flow)
-        if name is None:
+        pinned = self._pins.get(flow)
+        if pinned is None:
             return None
-        member = self._find_member(name)
+        member = self._find_member(pinned.name)
         hosts = len(self._state.routing.reachable)
-        if member is None or self._state.loads.is_silent(name, hosts, now):
+        gone = member is None or member.ref != pinned
+        if gone or self._state.loads.is_silent(pinned.name, hosts, now):
             del self._pins[flow]
             return None
         self._pins.move_to_end(flow)
         return member
 
-    def _pin(self, flow: FlowKey, host: str) -> None:
+    def _pin(self, flow: FlowKey, host: ProcessRef) -> None:
         self._pins[flow] = host
         self._pins.move_to_end(flow)
         if len(self._pins) > MOST_PINS:
@@ -346,7 +368,7 @@
             self._note_acted(packet.flow, now)
         if best.ref == state.config.ref:
             return Placement(packet, Place.TAKE)
-        self._pin(packet.flow, best.ref.name)
+        self._pin(packet.flow, best.ref)
         state.loads.count_placed(best.ref.name)
         return self._pass(packet, best, PacketFlag.PLACED, "placed_elsewhere")
 
@@ -390,28 +412,17 @@
         ]
 
     def _tell_owner(self, owner: Member) -> list[Send]:
-        by_holder: dict[str, list[FlowKey]] = {}
+        by_holder: dict[ProcessRef, list[FlowKey]] = {}
         for flow, (ref, _) in self._acted.items():
             if ref != owner.ref:
                 continue
-            name = self._pins.get(flow, self._state.config.ref.name)
-            by_holder.setdefault(name, []).append(flow)
+            holder = self._pins.get(flow, self._state.config.ref)
+            by_holder.setdefault(holder, []).append(flow)
         sends: list[Send] = []
-        for name, flows in by_holder.items():
-            holder = self._state.routing.find_reachable(name)
-            if holder is None:
-                continue
+        for holder, flows in by_holder.items():
             for first in range(0, len(flows), FLOWS_PER_PART):
                 part = tuple(flows[first : first + FLOWS_PER_PART])
-                note = ReportReply(
-                    self._state.config.service,
-                    NO_VERSION,
-                    holder.ref,
-                    FIRST,
-                    False,
-                    part,
-                )
-                sends.append(Send(owner.address, note))
+                sends.append(self._build_note(owner, holder, part))
         return sends
 
 
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the measurements and of flows under changes."""
--- /dev/null
+++ b/tests/bench/test_flows.py
@@ -0,0 +1,38 @@
+"""Flows under changes, at a small size."""
+
+from __future__ import annotations
+
+import pytest
+
+from bench.balanced import BalancedSite
+from bench.broken import run_change
+from bench.change import CHANGES
+from bench.deployment import COMPTOIR, Deployment
+
+
+class Small(Deployment):
+    """The comptoir with few connections."""
+
+    @property
+    def connections(self) -> int:
+        """Connections over all hosts."""
+        return 350
+
+
+def build_site(seed: int) -> BalancedSite:
+    profile = {**COMPTOIR.profile, "flows_per_slot": 50, "drain_s": 600.0}
+    small = Small("comptoir", 7, 2, COMPTOIR.data_centres, 0.0015, 0.001, profile)
+    return BalancedSite(small, seed, 0.004)
+
+
+@pytest.mark.parametrize("change", sorted(CHANGES))
+def test_no_flow_moves_while_its_host_runs(change: str) -> None:
+    found = run_change(build_site(seed=5), CHANGES[change])
+    assert found["broken"] == 0
+
+
+def test_flow_is_not_held_twice_after_its_host_restarted() -> None:
+    site = build_site(seed=6)
+    run_change(site, CHANGES["host restarts"])
+    held = [flow for agent in site.agents.values() for flow in agent.state.flows]
+    assert len(held) == len(set(held))
