Measure a balancer's packet path beside a bare drained relay

Numbers of flows are measured in turns within each round, since the machine is shared and a figure taken minutes later differs by up to 1.7 times.

--- a/bench/balanced.py
+++ b/bench/balanced.py
@@ -103,7 +103,8 @@
     def add_agent(self, backend: BackendServer) -> AgentDecisions:
         """Start an agent beside a backend server."""
         self._started += 1
-        address = Address("10.253.0.1", AGENT_PORT + self._started)
+        number = list(self.backends).index(backend.name)
+        address = Address("10.253.0.1", AGENT_PORT + number)
         config = AgentConfig(
             ProcessRef(backend.name, self._started),
             address,
@@ -189,15 +190,16 @@
             return
         self.carry_out(to, process.receive(sender, message, self.queue.now))
 
-    def tick(self, address: Address) -> None:
+    def tick(
+        self, address: Address, process: AgentDecisions | BalancerDecisions
+    ) -> None:
         """Let a process do what is due by time."""
-        process = self.processes.get(address)
-        if process is None:
+        if self.processes.get(address) is not process:
             return
         self.carry_out(address, process.tick(self.queue.now))
         if isinstance(process, AgentDecisions) and process.drained:
             del self.processes[address]
-        self.queue.call_after(TICK_S, self.tick, address)
+        self.queue.call_after(TICK_S, self.tick, address, process)
 
     def _start(
         self,
@@ -207,7 +209,8 @@
     ) -> None:
         self.processes[address] = process
         self.places[address] = data_centre
-        self.queue.call_after(self.random.uniform(0.0, TICK_S), self.tick, address)
+        delay_s = self.random.uniform(0.0, TICK_S)
+        self.queue.call_after(delay_s, self.tick, address, process)
 
     def _transmit(self, source: Address, to: Address, message: Message) -> None:
         near = self.places.get(source) == self.places.get(to)
@@ -227,7 +230,7 @@
             return
 
         def reply() -> None:
-            if source not in self.processes:
+            if self.processes.get(source) is not agent:
                 return
             answer = agent.take_answer(
                 action.flow, action.request, action.payload, self.queue.now
--- a/bench/packets.py
+++ b/bench/packets.py
@@ -7,6 +7,7 @@
 import socket
 import statistics
 import time
+from dataclasses import dataclass
 from random import Random
 from typing import TYPE_CHECKING, Any, Final
 
@@ -35,12 +36,23 @@
 BATCH: Final = 64
 BATCHES: Final = 400
 ROUNDS: Final = 9
-CALLS: Final = 40_000
+GROUPS: Final = 20
+GROUP: Final = 1_000
 FLOW_COUNTS: Final = (1_000, 10_000, 100_000, 300_000)
 ELSEWHERE_SHARE: Final = 0.5
 """Share of flows that two choices put on another host than their bucket's owner."""
 
 
+@dataclass(slots=True)
+class Datagram:
+    """One datagram of a flow and the answer to it."""
+
+    flow: FlowKey
+    caller: Address
+    holder: Address
+    answer: Answer
+
+
 class Rig:
     """One balancer that knows one service, and callers with flows.
 
@@ -62,17 +74,28 @@
         self.version = RoutingVersion(1, 0)
         self.payload = bytes(PAYLOAD_BYTES)
         self.holders = [self._choose_holder(flow) for flow in self.flows]
-        for position in range(flows):
-            self.take_answer(position, 100.0)
-
-    def route(self, position: int, now: float) -> Send:
+        for datagram in self.build_datagrams(2 * flows):
+            self.take_answer(datagram, 100.0)
+
+    def build_datagrams(self, count: int) -> list[Datagram]:
+        """Draw flows and build what the edge would hand over for each."""
+        drawn: list[Datagram] = []
+        for position in self.draw_positions(count):
+            ip, port = self.callers[position]
+            caller = Address(ip[:1] + ip[1:], port)
+            flow = FlowKey(self.flows[position] | 0)
+            answer = Answer(self.number, flow, caller, self.version, self.payload)
+            drawn.append(Datagram(flow, caller, self.holders[position], answer))
+        return drawn
+
+    def route(self, datagram: Datagram, now: float) -> Send:
         """Route one datagram of a flow."""
         actions = self.balancer.route(
             self.entry,
-            self.flows[position],
-            self.callers[position],
+            datagram.flow,
+            datagram.caller,
             RequestKind.REPEATABLE,
-            RequestKey(position + 1),
+            RequestKey(7),
             self.payload,
             now,
         )
@@ -80,16 +103,9 @@
         assert isinstance(send, Send)
         return send
 
-    def take_answer(self, position: int, now: float) -> ReturnToCaller:
+    def take_answer(self, datagram: Datagram, now: float) -> ReturnToCaller:
         """Take the answer to one datagram of a flow."""
-        answer = Answer(
-            self.number,
-            self.flows[position],
-            self.callers[position],
-            self.version,
-            self.payload,
-        )
-        told = self.balancer.receive(self.holders[position], answer, now)[0]
+        told = self.balancer.receive(datagram.holder, datagram.answer, now)[0]
         assert isinstance(told, ReturnToCaller)
         return told
 
@@ -133,41 +149,58 @@
     return balancer
 
 
-def time_calls(call: Callable[[int, float], object], positions: list[int]) -> float:
+def time_calls(
+    call: Callable[[Datagram, float], object], datagrams: list[Datagram]
+) -> float:
     """Return the time of one call in microseconds."""
     now = 200.0
     began = time.perf_counter()
-    for position in positions:
-        call(position, now)
-    return (time.perf_counter() - began) / len(positions) * 1e6
+    for datagram in datagrams:
+        call(datagram, now)
+    return (time.perf_counter() - began) / len(datagrams) * 1e6
 
 
-def time_loop(positions: list[int]) -> float:
-    """Return the time of a call that does nothing."""
-    return time_calls(lambda position, now: None, positions)
+def skip(datagram: Datagram, now: float) -> None:
+    """Do nothing, to time a call alone."""
 
 
-def measure_decisions(flows: int, seed: int) -> dict[str, Any]:
-    """Time the decisions on packets and answers at a number of flows."""
-    rig = Rig(flows, seed, list(range(7001, 7001 + HOSTS)))
-    routes: list[float] = []
-    answers: list[float] = []
+def measure_decisions(seed: int) -> dict[str, Any]:
+    """Time the decisions on packets and answers, all numbers of flows in turns."""
+    ports = list(range(7001, 7001 + HOSTS))
+    rigs = [Rig(flows, seed, ports) for flows in FLOW_COUNTS]
     gc.collect()
     gc.freeze()
-    for _ in range(ROUNDS):
-        positions = rig.draw_positions(CALLS)
-        idle = time_loop(positions)
-        routes.append(time_calls(rig.route, positions) - idle)
-        answers.append(time_calls(rig.take_answer, positions) - idle)
+    rounds = [[_time_round(rig) for rig in rigs] for _ in range(ROUNDS)]
     gc.unfreeze()
     return {
-        "flows": flows,
-        "hints": rig.balancer.hint_count,
-        "route_us": round(statistics.median(routes), 2),
-        "answer_us": round(statistics.median(answers), 2),
+        "flows": list(FLOW_COUNTS),
+        "hints": [rig.balancer.hint_count for rig in rigs],
+        "route_us": _take_medians([[pair[0] for pair in line] for line in rounds]),
+        "answer_us": _take_medians([[pair[1] for pair in line] for line in rounds]),
+        "growth": _take_medians([_relate_to_first(line) for line in rounds]),
     }
 
 
+def _relate_to_first(line: list[tuple[float, float]]) -> list[float]:
+    """Return each cost of packet and answer over that of the fewest flows."""
+    return [sum(pair) / sum(line[0]) for pair in line]
+
+
+def _take_medians(rounds: list[list[float]]) -> list[float]:
+    return [round(statistics.median(column), 3) for column in zip(*rounds)]
+
+
+def _time_round(rig: Rig) -> tuple[float, float]:
+    route_us = 0.0
+    answer_us = 0.0
+    for _ in range(GROUPS):
+        datagrams = rig.build_datagrams(GROUP)
+        idle = time_calls(skip, datagrams)
+        route_us += time_calls(rig.route, datagrams) - idle
+        answer_us += time_calls(rig.take_answer, datagrams) - idle
+    return route_us / GROUPS, answer_us / GROUPS
+
+
 class Loopback:
     """A caller's socket, a relay's socket and the hosts' sockets in one process."""
 
@@ -306,14 +339,10 @@
 
 def measure(seed: int) -> Iterator[dict[str, Any]]:
     """Measure the decisions alone and behind sockets."""
-    costs = [measure_decisions(flows, seed) for flows in FLOW_COUNTS]
-    first, last = costs[0], costs[-1]
     yield {
         "case": "packets",
         "part": "decisions alone",
-        "costs": costs,
-        "route_growth": round(last["route_us"] / first["route_us"], 3),
-        "answer_growth": round(last["answer_us"] / first["answer_us"], 3),
+        **measure_decisions(seed),
     }
     for flows in (FLOW_COUNTS[0], FLOW_COUNTS[-1]):
         yield {
