Shorten a balancer's work on a packet and its answer

Cause, by timing the parts: frozen data classes made for each packet (0.6 us each against 0.3), a wait record for each request, a search through the members for each hinted flow, a formatted address in the flow key (0.74 us against 0.35), and comparison of process references (0.26 us).

Ruled out: the RoutingVersion comparison (0.13 us) and match dispatch (Answer comes first).

--- a/src/balsamstream/core/balancer.py
+++ b/src/balsamstream/core/balancer.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from .catalogue import Catalogue, number_service
 from .claim import VoterRole
 from .distribution import Distribution
+from .hints import Hints
 from .liveness import Liveness
 from .message import (
     Answer,
@@ -87,7 +87,7 @@
         self.distribution = Distribution(config, self.catalogue, random)
         self.liveness = Liveness()
         self.refusals = RefusalRounds(random)
-        self._hints: OrderedDict[FlowKey, str] = OrderedDict()
+        self._hints = Hints(config.hints)
         self._routings: dict[int, Routing] = {}
         self._hosts: dict[Address, tuple[int, ProcessRef]] = {}
         self._voters: dict[str, VoterRole] = {}
@@ -203,12 +203,12 @@
     def _choose_host(
         self, routing: Routing, flow: FlowKey
     ) -> tuple[Member | None, PacketFlag]:
-        hinted = self._hints.get(flow)
+        hinted = self._hints.find(flow)
         if hinted is not None:
-            member = routing.find_reachable(hinted)
-            if member is not None and not self.liveness.is_suspect(member.address):
+            member = routing.find_reachable_at(hinted)
+            if member is not None and not self.liveness.is_suspect(hinted):
                 return member, PacketFlag.NONE
-            del self._hints[flow]
+            self._hints.drop(flow)
         ranked = routing.rank(flow)
         if not ranked:
             return None, PacketFlag.NONE
@@ -259,22 +259,16 @@
         routing = self._routings.get(answer.service)
         if routing is None:
             return actions
-        self._learn_hint(routing, answer.flow, known)
+        if known is not None:
+            self._learn_hint(routing, answer.flow, sender)
         return actions + self._compare(sender, routing, answer.version, now)
 
-    def _learn_hint(
-        self, routing: Routing, flow: FlowKey, known: tuple[int, ProcessRef] | None
-    ) -> None:
-        if known is None:
-            return
+    def _learn_hint(self, routing: Routing, flow: FlowKey, holder: Address) -> None:
         owner = routing.find_owner(flow)
-        if owner is not None and owner.ref == known[1]:
-            self._hints.pop(flow, None)
+        if owner is not None and owner.address == holder:
+            self._hints.drop(flow)
             return
-        self._hints[flow] = known[1].name
-        self._hints.move_to_end(flow)
-        if len(self._hints) > self.config.hints:
-            self._hints.popitem(last=False)
+        self._hints.keep(flow, holder)
 
     def _take_refusal(
         self, sender: Address, refusal: Refusal, now: float
--- a/src/balsamstream/core/message.py
+++ b/src/balsamstream/core/message.py
@@ -387,7 +387,7 @@
 # --- actions -----------------------------------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Send:
     """Send a message to a process of the system."""
 
@@ -421,7 +421,7 @@
     flow: FlowKey
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ReturnToCaller:
     """Send a datagram out of the edge."""
 
--- a/src/balsamstream/core/routing.py
+++ b/src/balsamstream/core/routing.py
@@ -44,7 +44,9 @@
 
 def compute_flow_key(service: str, caller: Address) -> FlowKey:
     """Hash a service and a caller's address into a flow key."""
-    return FlowKey(xxhash.xxh3_64_intdigest(f"{service}|{caller}".encode()))
+    return FlowKey(
+        xxhash.xxh3_64_intdigest(f"{service}|{caller.ip}:{caller.port}".encode())
+    )
 
 
 def compute_bucket(flow: FlowKey) -> int:
@@ -71,7 +73,16 @@
         Version that the data centre states are of.
     """
 
-    __slots__ = ("_ranked", "eligible", "out", "reachable", "version", "view")
+    __slots__ = (
+        "_by_address",
+        "_by_name",
+        "_ranked",
+        "eligible",
+        "out",
+        "reachable",
+        "version",
+        "view",
+    )
 
     def __init__(
         self, view: View, out: frozenset[str], data_centres_version: int
@@ -86,6 +97,8 @@
         self.reachable: Sequence[Member] = tuple(
             member for member in inside if member.state is not MemberState.DOWN
         )
+        self._by_name = {member.ref.name: member for member in self.reachable}
+        self._by_address = {member.address: member for member in self.reachable}
         self._ranked: dict[int, tuple[Member, ...]] = {}
 
     def rank(self, flow: FlowKey) -> tuple[Member, ...]:
@@ -110,10 +123,11 @@
 
     def find_reachable(self, name: str) -> Member | None:
         """Return a member that may hold flows, by name."""
-        for member in self.reachable:
-            if member.ref.name == name:
-                return member
-        return None
+        return self._by_name.get(name)
+
+    def find_reachable_at(self, address: Address) -> Member | None:
+        """Return a member that may hold flows, by address."""
+        return self._by_address.get(address)
 
 
 __all__ = [
