Compare new flows' hosts by both limits and bound load reports

Cause: the load compared was the greater of two shares. Short fittings leave idle flows behind, so the share of flows was always the greater and work in flight never counted. Reports carried the work of one instant, a second old, and every flow placed since counted as still worked on. Reports to 16 hosts a second took an agent 3.4 and 4.1 KB/s in services of 14 and 28 hosts, above the 2 KB/s a node may use; in services above 16 hosts most loads were too old to count.

--- a/src/balsamstream/core/admission.py
+++ b/src/balsamstream/core/admission.py
@@ -28,6 +28,9 @@
 MOST_PENDING: Final = 100_000
 SLOW_FACTOR: Final = 4.0
 LATENCY_WEIGHT: Final = 0.05
+MEAN_OVER_S: Final = 0.5
+"""Time over which the work in flight is averaged for reports."""
+
 LEAST_SLOW_S: Final = 0.02
 
 
@@ -65,6 +68,7 @@
         self.slots = slots
         self.share = profile.cold_start.initial_share
         self.latency_s = 0.0
+        self.mean_in_flight = 0.0
         self.health = Health.SOUND
         self._in_flight: dict[tuple[FlowKey, RequestKey], float] = {}
         self._order: deque[tuple[float, tuple[FlowKey, RequestKey]]] = deque()
@@ -178,6 +182,8 @@
         """Raise the limits where the last interval's answers allow it."""
         elapsed = max(0.0, now - self._ticked)
         self._ticked = now
+        weight = min(1.0, elapsed / MEAN_OVER_S)
+        self.mean_in_flight += weight * (self.in_flight - self.mean_in_flight)
         answers, slow, refusals = self._answers, self._slow, self._refusals
         self._answers = 0
         self._slow = 0
--- a/src/balsamstream/core/agent.py
+++ b/src/balsamstream/core/agent.py
@@ -10,6 +10,7 @@
 from .claim import VoterRole
 from .follower import Follower
 from .identity import NO_REQUEST
+from .load import HOSTS_HEARD_EACH_S
 from .membership import Membership
 from .message import (
     Answer,
@@ -50,10 +51,10 @@
     from .identity import Address, FlowKey, RequestKey
     from .message import Action, Message
     from .ownership import Placement
+    from .view import Member
 
 MOST_HOPS: Final = 4
 LOAD_REPORT_S: Final = 1.0
-MOST_LOAD_PEERS: Final = 16
 BACKEND_DOWN_S: Final = 0.5
 """After a refused datagram only one flow is tried in each such interval."""
 
@@ -86,6 +87,7 @@
         self.follower = Follower(self.state.catalogue, config.peers, random)
         self._waiting: dict[tuple[FlowKey, RequestKey], Packet] = {}
         self._next_load_report = 0.0
+        self._load_turn = 0
         self._backend_down_until = 0.0
         self._is_replaced = False
 
@@ -212,6 +214,7 @@
         actions += self._expire(now)
         if state.admission is not None:
             state.admission.tick(now)
+            state.loads.learn_latency(state.admission.latency_s)
         if now >= self._next_load_report:
             self._next_load_report = now + LOAD_REPORT_S
             actions += self._report_load()
@@ -378,17 +381,22 @@
             state.config.ref.name,
             len(state.flows),
             limits.flows,
-            state.admission.in_flight,
+            round(state.admission.mean_in_flight),
             limits.in_flight,
         )
-        peers = [
-            member
-            for member in state.routing.reachable
-            if member.ref != state.config.ref
-        ]
-        if len(peers) > MOST_LOAD_PEERS:
-            peers = state.random.sample(peers, MOST_LOAD_PEERS)
-        return [Send(member.address, report) for member in peers]
+        return [Send(member.address, report) for member in self._choose_load_peers()]
+
+    def _choose_load_peers(self) -> list[Member]:
+        """Take the next hosts in turn; hosts after this one in the view come first."""
+        members = self.state.routing.reachable
+        me = self.state.config.ref
+        after = [member for member in members if member.ref > me]
+        peers = after + [member for member in members if member.ref < me]
+        if len(peers) <= HOSTS_HEARD_EACH_S:
+            return peers
+        first = self._load_turn % len(peers)
+        self._load_turn = first + HOSTS_HEARD_EACH_S
+        return (peers + peers)[first : first + HOSTS_HEARD_EACH_S]
 
     # --- configuration -------------------------------------------------------------
 
--- a/src/balsamstream/core/load.py
+++ b/src/balsamstream/core/load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
@@ -11,20 +12,40 @@
 REPORT_LIFE_S: Final = 5.0
 """A host not heard of for so long is not chosen for new flows by load."""
 
-HOSTS_HEARD_EACH_S: Final = 16
+HOSTS_HEARD_EACH_S: Final = 6
+"""Hosts that each host sends its report to in one second, in turn."""
+
+LATENCY_ASSUMED_S: Final = 0.05
+LATENCY_LEAST_S: Final = 0.01
+
+ROUNDS_MISSED: Final = 3
+"""A host is silent once so many of its reports are missing."""
 
 
 @dataclass(slots=True)
 class _PeerLoad:
     report: LoadReport | None
     heard: float
-    placed: int
+    placed: int = 0
+    working: float = 0.0
+    worked: float = 0.0
+
+    def decay(self, now: float, latency_s: float) -> float:
+        """Return how many of the placed flows' requests are likely still worked on."""
+        self.working *= math.exp((self.worked - now) / latency_s)
+        self.worked = now
+        return self.working
 
 
 class PeerLoads:
-    """The latest load report of each host, and what was placed there since."""
+    """The latest load report of each host, and what was placed there since.
+
+    Flows placed since count until the next report. Their requests count for about
+    ``latency_s`` seconds only: short ones are long done before the next report.
+    """
 
     def __init__(self) -> None:
+        self.latency_s = LATENCY_ASSUMED_S
         self._peers: dict[str, _PeerLoad] = {}
 
     def expect(self, hosts: set[str], now: float) -> None:
@@ -34,7 +55,7 @@
                 del self._peers[host]
         for host in hosts:
             if host not in self._peers:
-                self._peers[host] = _PeerLoad(None, now, 0)
+                self._peers[host] = _PeerLoad(None, now)
 
     def excuse(self, now: float) -> None:
         """Blame no host for a time in which this process did not run."""
@@ -43,13 +64,19 @@
 
     def take(self, report: LoadReport, now: float) -> None:
         """Replace a host's report."""
-        self._peers[report.host] = _PeerLoad(report, now, 0)
+        self._peers[report.host] = _PeerLoad(report, now)
 
-    def count_placed(self, host: str) -> None:
+    def count_placed(self, host: str, now: float) -> None:
         """Add a flow placed there before its next report."""
         peer = self._peers.get(host)
-        if peer is not None:
-            peer.placed += 1
+        if peer is None:
+            return
+        peer.placed += 1
+        peer.working = peer.decay(now, self.latency_s) + 1.0
+
+    def learn_latency(self, latency_s: float) -> None:
+        """Take how long requests last here as the time that they last elsewhere."""
+        self.latency_s = max(LATENCY_LEAST_S, latency_s)
 
     def is_silent(self, host: str, hosts: int, now: float) -> bool:
         """Tell whether a host that is expected to report does not.
@@ -62,12 +89,12 @@
         peer = self._peers.get(host)
         if peer is None:
             return False
-        return now - peer.heard > REPORT_LIFE_S * max(1.0, hosts / HOSTS_HEARD_EACH_S)
+        return now - peer.heard > compute_report_life(hosts)
 
     def estimate(self, host: str, now: float) -> float | None:
         """Return the host's load with one more flow; None if it is not known."""
         peer = self._peers.get(host)
-        if peer is None or now - peer.heard > REPORT_LIFE_S:
+        if peer is None or now - peer.heard > compute_report_life(len(self._peers)):
             return None
         report = peer.report
         if report is None:
@@ -75,16 +102,29 @@
         return estimate_load(
             report.flows + peer.placed + 1,
             report.flow_limit,
-            report.in_flight + peer.placed + 1,
+            report.in_flight + peer.decay(now, self.latency_s) + 1,
             report.in_flight_limit,
         )
 
 
+def compute_report_life(hosts: int) -> float:
+    """Return how long a report counts, in a service of so many hosts."""
+    rounds = -(-hosts // HOSTS_HEARD_EACH_S)
+    return max(REPORT_LIFE_S, float(ROUNDS_MISSED * rounds))
+
+
 def estimate_load(
-    flows: int, flow_limit: int, in_flight: int, in_flight_limit: int
+    flows: int, flow_limit: int, in_flight: float, in_flight_limit: int
 ) -> float:
-    """Return the greater used share of the two limits; above 1 nothing fits."""
-    return max(flows / max(1, flow_limit), in_flight / max(1, in_flight_limit))
+    """Return the mean used share of the two limits, or the greater one above 1.
+
+    Nothing fits above 1. Below, the mean weighs both: the greater share alone would
+    place short requests by flows that have long been idle.
+    """
+    flow_share = flows / max(1, flow_limit)
+    in_flight_share = in_flight / max(1, in_flight_limit)
+    greater = max(flow_share, in_flight_share)
+    return greater if greater > 1.0 else (flow_share + in_flight_share) / 2
 
 
 __all__ = ["PeerLoads", "estimate_load"]
