--- a/src/balsamstream/command/run.py
+++ b/src/balsamstream/command/run.py
@@ -11,15 +11,19 @@
 
 from .. import VERSION
 from ..config import DataCentreState, Kind, find_kind
+from ..core.view import MemberState
 from .apply import apply_files
-from .change import ACTIVE, DRAINING, change_data_centre, change_host
 from .check import check_files
+from .datacentre import change_data_centre
 from .delete import delete_object
+from .host import change_host
 from .outcome import Outcome, Output
 from .printer import show_outcome
+from .report import report_burn
 from .session import Form, Options, run_on_platform
 from .show import describe_object, get_objects
 from .status import show_status
+from .voters import reset_voters
 
 HELP: Final = """
 Declare profiles, services and data centre states, and see what runs.
@@ -43,6 +47,8 @@
 data_centre_app = App(name="datacentre", help="Take a data centre out or in.")
 app.command(host_app)
 app.command(data_centre_app)
+voters_app = App(name="voters", help="Replace voters that are dead for good.")
+app.command(voters_app)
 
 Common = Annotated[Options, Parameter(parse=False)]
 KindName = Literal[
@@ -164,7 +170,8 @@
     service : str
         Service of the host; needed only where several have a host of this name.
     """
-    return run_on_platform(options, lambda c: change_host(c, name, DRAINING, service))
+    state = MemberState.DRAINING
+    return run_on_platform(options, lambda c: change_host(c, name, state, service))
 
 
 @host_app.command(name="undrain")
@@ -180,7 +187,8 @@
     service : str
         Service of the host; needed only where several have a host of this name.
     """
-    return run_on_platform(options, lambda c: change_host(c, name, ACTIVE, service))
+    state = MemberState.ACTIVE
+    return run_on_platform(options, lambda c: change_host(c, name, state, service))
 
 
 @data_centre_app.command(name="out")
@@ -209,6 +217,51 @@
     return run_on_platform(options, lambda c: change_data_centre(c, name, state))
 
 
+@voters_app.command(name="reset")
+def replace_voters(service: str, /, *, options: Common) -> Outcome:
+    """Give a service new voters after most of the old ones died together.
+
+    Only for a service whose orders all end as "may have run" because its voters are
+    gone. By calling this you vouch that no process of the old voters and no agent of
+    the service that could reach them still runs cut off from you: one that does could
+    run a request twice. The new voters wait 247 s, until copies of older requests
+    have died out, before requests that are not repeatable are taken again.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    """
+    return run_on_platform(options, lambda c: reset_voters(c, service))
+
+
+@app.command
+def report(
+    *,
+    daemon: list[str],
+    service: list[str] | None = None,
+    html: Path | None = None,
+    options: Common,
+) -> Outcome:
+    """Report the service-level burn of the last hour.
+
+    Shows for each service its objectives, the error budget that is left, burn
+    rates over 5 minutes and 1 hour, broken flows, refusals by verdict and the
+    imbalance across hosts. The counts of all daemons named are added up, so name
+    every balancer and agent. The platform is not needed.
+
+    Parameters
+    ----------
+    daemon : list of str
+        Status address (IP:PORT) of a daemon; repeated for each.
+    service : list of str
+        Report only this service; may be repeated.
+    html : Path
+        Write a page with plots to this file as well.
+    """
+    return report_burn(daemon, service or (), html)
+
+
 @app.command
 def completion(shell: Literal["bash", "zsh", "fish"], /, *, options: Common) -> Outcome:
     """Print the completion script of a shell, to be read by its start file.
