Record by the clock that is never set

In one of three demo runs the wall clock of the machine was set while it ran: the demo's own times lay 50 s and more off those of the callers, and the figures that are measured from an order were void (imbalance 0, last new flow after 68 s). Ruled out: clocks that differ between processes, a second run read one offset throughout. All records now take the monotonic clock, which processes share, and a change outside the time of the record is refused, so that no test can pass by reading another clock.

--- a/demo/plan.py
+++ b/demo/plan.py
@@ -20,11 +20,11 @@
 REMOVED_DATA_CENTRE: Final = "thyna"
 
 COLD_S: Final = 2.0
-WARM_UP_S: Final = 5.0
-STEADY_S: Final = 7.0
+WARM_UP_S: Final = 4.0
+STEADY_S: Final = 6.0
 FABRIC_DETECTS_S: Final = 1.0
 BALANCERS_S: Final = 3.0
-DRAIN_S: Final = 4.0
+DRAIN_S: Final = 3.0
 RESTART_S: Final = 4.0
 OUT_S: Final = 6.5
 BACK_S: Final = 5.0
@@ -36,6 +36,8 @@
     "retry_after_s": {"least": 1.0, "most": 2.0},
 }
 
+LAST_PROFILE: Final[dict[str, Any]] = {**PROFILE, "drain_s": 1.0}
+
 TIMING_OPTIONS: Final = (
     "--ack-timeout-s=0.4",
     "--max-retransmit=4",
--- a/demo/run.py
+++ b/demo/run.py
@@ -11,11 +11,12 @@
 import time
 from contextlib import closing
 from pathlib import Path
-from typing import TYPE_CHECKING, Annotated
+from typing import TYPE_CHECKING, Annotated, Any
 
 from cyclopts import App, Parameter
 from rich.console import Console
 
+from standins.events import read_clock
 from standins.fleet import Fleet, OperatorError, name_backend
 from standins.processes import ProcessError
 from standins.record import Changes, Drain, Removal, Window, compare, read_record
@@ -25,6 +26,7 @@
 from .table import build_line, build_table, passes
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from types import FrameType
 
     from standins.record import Figures
@@ -61,8 +63,7 @@
         self._restart_backend()
         removal = self._remove_data_centre()
         self._stop_callers()
-        self._tell("stopping daemons")
-        self.statuses = self._fleet.stop_daemons()
+        self._stop_daemons()
         record = read_record(
             self._fleet.list_caller_records(), self._fleet.list_backend_records()
         )
@@ -75,8 +76,7 @@
         self._tell(f"starting {len(self._hosts)} hosts and 3 balancers")
         fleet.start_daemons()
         self._tell("applying the configuration")
-        profiles = dict.fromkeys(fleet.plan.services, demo_plan.PROFILE)
-        fleet.operate("apply", str(fleet.write_configuration(profiles)))
+        self._apply(demo_plan.PROFILE)
         wait_for_services(fleet.service_addresses)
         self._tell("starting callers of both deployments")
         self._start_callers()
@@ -95,9 +95,9 @@
 
     def _keep_steady(self) -> Window:
         self._tell("steady load")
-        start = time.time()
+        start = read_clock()
         time.sleep(demo_plan.STEADY_S)
-        return Window(start, time.time())
+        return Window(start, read_clock())
 
     def _change_balancers(self) -> None:
         fleet = self._fleet
@@ -114,7 +114,7 @@
     def _drain_host(self) -> Drain:
         host = demo_plan.DRAINED_HOST
         self._tell(f"draining {host}")
-        ordered_at = time.time()
+        ordered_at = read_clock()
         self._fleet.operate("host", "drain", host)
         time.sleep(demo_plan.DRAIN_S)
         return Drain(host, ordered_at)
@@ -129,11 +129,11 @@
     def _remove_data_centre(self) -> Removal:
         name = demo_plan.REMOVED_DATA_CENTRE
         self._tell(f"taking {name} out")
-        start = time.time()
+        start = read_clock()
         self._fleet.operate("datacentre", "out", name)
         time.sleep(demo_plan.OUT_S)
         self._tell(f"taking {name} back in")
-        window = Window(start, time.time())
+        window = Window(start, read_clock())
         self._fleet.operate("datacentre", "in", name)
         time.sleep(demo_plan.BACK_S)
         return Removal(name, self._fleet.plan.list_hosts_in(name), window)
@@ -147,6 +147,17 @@
             if status:
                 raise ProcessError(f"callers {name} ended with {status}")
 
+    def _stop_daemons(self) -> None:
+        # Callers leave without a word, so that agents would wait for their flows.
+        self._tell("shortening the drain and stopping daemons")
+        self._apply(demo_plan.LAST_PROFILE)
+        self.statuses = self._fleet.stop_daemons()
+
+    def _apply(self, profile: Mapping[str, Any]) -> None:
+        profiles = dict.fromkeys(self._fleet.plan.services, profile)
+        path = self._fleet.write_configuration(profiles)
+        self._fleet.operate("apply", str(path))
+
     def _tell(self, text: str) -> None:
         elapsed_s = time.monotonic() - self._begun
         self._console.print(f"{elapsed_s:5.1f} s  {text}", highlight=False)
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -42,6 +42,7 @@
     RecordFile,
     Run,
     Started,
+    read_clock,
 )
 from .notifier import Notifier
 from .serving import (
@@ -211,7 +212,7 @@
         return Place(self._host, self._incarnation)
 
     def _record_start(self, announced: bool) -> None:
-        now = time.time()
+        now = read_clock()
         cold_until = now + self._capacity.limits.cold_s
         self._record.append(
             Started(
@@ -235,7 +236,7 @@
 
     def _take_datagram(self, datagram: bytes, endpoint: Address) -> None:
         self._packets += 1
-        self._last_packet = time.time()
+        self._last_packet = read_clock()
         if self._fallen:
             return
         message = decode_message(datagram)
@@ -261,7 +262,7 @@
             self._answers.popitem(last=False)
         if find_service(message) not in self._services:
             path = "/".join(message.opt.uri_path)
-            self._record.append(Misdirected(time.time(), self._host, path))
+            self._record.append(Misdirected(read_clock(), self._host, path))
             self._answer(message, endpoint, build_answer(message, codes.NOT_FOUND))
             return
         if self.faults.fail_requests > self._random.random():
@@ -287,7 +288,7 @@
         self, event_type: type[ColdWork] | type[Overloaded], now: float
     ) -> ColdWork | Overloaded:
         return event_type(
-            time.time(),
+            read_clock(),
             self._host,
             self._incarnation,
             self._capacity.in_flight,
@@ -317,7 +318,7 @@
     def _expire(self, work: Work) -> None:
         self._capacity.release()
         request, attempt = identify_request(work.message)
-        self._record.append(Expired(time.time(), self._host, request, attempt))
+        self._record.append(Expired(read_clock(), self._host, request, attempt))
         refusal = build_answer(work.message, codes.SERVICE_UNAVAILABLE)
         refusal.opt.max_age = EXPIRED_MAX_AGE_S
         self._answer(work.message, work.endpoint, refusal)
@@ -326,7 +327,7 @@
         request, attempt = identify_request(work.message)
         self._record.append(
             Run(
-                time=time.time(),
+                time=read_clock(),
                 host=self._host,
                 incarnation=self._incarnation,
                 service=str(find_service(work.message)),
@@ -369,7 +370,7 @@
                 continue
             self._record.append(
                 PacketsReceived(
-                    time.time(), self._host, self._packets, self._last_packet
+                    read_clock(), self._host, self._packets, self._last_packet
                 )
             )
             self._packets = 0
--- a/standins/events.py
+++ b/standins/events.py
@@ -1,11 +1,13 @@
 """What callers and backend servers put on record, as JSON lines.
 
-Times are seconds since the epoch, by the clock of the machine that all share.
+Times are seconds since the machine came up: all processes on it share that clock, and
+it is never set, as the wall clock may be in the midst of a run.
 """
 
 from __future__ import annotations
 
 import json
+import time
 from dataclasses import asdict, dataclass
 from enum import StrEnum
 from typing import TYPE_CHECKING, Any, Final, TypeAlias
@@ -15,6 +17,11 @@
     from pathlib import Path
 
 
+def read_clock() -> float:
+    """Read the clock of all records, in seconds."""
+    return time.monotonic()
+
+
 class Outcome(StrEnum):
     """How an attempt ended for its caller."""
 
@@ -282,5 +289,6 @@
     "Run",
     "Started",
     "WronglyServed",
+    "read_clock",
     "read_events",
 ]
--- a/standins/notifier.py
+++ b/standins/notifier.py
@@ -15,7 +15,7 @@
 from .answers import JSON_FORMAT, Place, describe
 from .coap import MessageIds, read_query
 from .content import COMPTOIR
-from .events import ObservationEnded, ObservationStarted
+from .events import ObservationEnded, ObservationStarted, read_clock
 from .observers import GROUP_INTERVAL_S, MOST_UNCONFIRMED, Observer, Observers
 
 if TYPE_CHECKING:
@@ -119,7 +119,7 @@
         self._observers.add(observer)
         self._record.append(
             ObservationStarted(
-                time.time(),
+                read_clock(),
                 self.place.host,
                 self.place.incarnation,
                 observer.board,
@@ -134,7 +134,7 @@
     def _record_end(self, observer: Observer, reason: str) -> None:
         self._record.append(
             ObservationEnded(
-                time.time(),
+                read_clock(),
                 self.place.host,
                 self.place.incarnation,
                 observer.board,
--- a/standins/record.py
+++ b/standins/record.py
@@ -203,7 +203,15 @@
 
 
 def compare(record: Record, changes: Changes) -> Figures:
-    """Compare what callers saw with what backend servers did."""
+    """Compare what callers saw with what backend servers did.
+
+    Raises
+    ------
+    ValueError
+        Where a change lies outside the time of the record, as it does when another
+        clock was read for it.
+    """
+    _check_times(record, changes)
     figures = Figures()
     _count_attempts(record, figures)
     _count_orders(record, figures)
@@ -221,6 +229,19 @@
     return sorted(events, key=lambda event: event.time)
 
 
+def _check_times(record: Record, changes: Changes) -> None:
+    events = [*record.caller_events, *record.backend_events]
+    ordered_at = [removal.window.start for removal in changes.removals]
+    ordered_at += [drain.ordered_at for drain in changes.drains]
+    if changes.steady != Window():
+        ordered_at.append(changes.steady.start)
+    first = min((event.time for event in events), default=0.0)
+    last = max((event.time for event in events), default=math.inf)
+    for time in ordered_at:
+        if not first <= time <= last:
+            raise ValueError(f"a change at {time} is not within {first} to {last}")
+
+
 def _count_attempts(record: Record, figures: Figures) -> None:
     outcomes: Counter[Outcome] = Counter()
     for event in record.caller_events:
--- a/standins/routine.py
+++ b/standins/routine.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import random
-import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Final
 
@@ -22,6 +21,7 @@
     FlowEstablished,
     Outcome,
     WronglyServed,
+    read_clock,
 )
 from .exchange import Answer, CallerSocket, Reply, Silence, Timing
 
@@ -58,7 +58,7 @@
     kind: str
     request: str
     number: int
-    begun: float = field(default_factory=time.time)
+    begun: float = field(default_factory=read_clock)
     host: str = ""
 
 
@@ -155,7 +155,7 @@
         del self._open[id(attempt)]
         self.record.append(
             Finished(
-                time=time.time(),
+                time=read_clock(),
                 begun=attempt.begun,
                 caller=self.caller,
                 kind=attempt.kind,
@@ -171,13 +171,13 @@
     def check_answer(self, request: str, expected: object, got: object) -> None:
         """Record an answer that belongs to another request."""
         if expected != got:
-            self.record.append(Crossed(time.time(), self.caller, request, str(got)))
+            self.record.append(Crossed(read_clock(), self.caller, request, str(got)))
 
     def check_service(self, request: str, path: str, service: object) -> None:
         """Record an answer of another service."""
         if service != SERVICE_OF_PATH[path]:
             self.record.append(
-                WronglyServed(time.time(), self.caller, request, str(service))
+                WronglyServed(read_clock(), self.caller, request, str(service))
             )
 
     def _build_socket(self) -> CallerSocket:
@@ -210,7 +210,7 @@
         if self._place is None:
             self._routine.record.append(
                 FlowEstablished(
-                    time.time(),
+                    read_clock(),
                     self._routine.caller,
                     self._routine.kind,
                     place.host,
@@ -218,7 +218,7 @@
                 )
             )
         self._place = place
-        self._last_seen = time.time()
+        self._last_seen = read_clock()
 
     def break_off(self, reason: BreakReason) -> None:
         """Record that the flow broke, if it was established."""
@@ -226,7 +226,7 @@
             return
         self._routine.record.append(
             FlowBroken(
-                time=time.time(),
+                time=read_clock(),
                 caller=self._routine.caller,
                 kind=self._routine.kind,
                 host=self._place.host,
@@ -243,7 +243,7 @@
             return
         self._routine.record.append(
             FlowClosed(
-                time.time(),
+                read_clock(),
                 self._routine.caller,
                 self._routine.kind,
                 self._place.host,
--- a/tests/standins/test_record.py
+++ b/tests/standins/test_record.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from standins.events import (
     BreakReason,
     ColdWork,
@@ -114,6 +116,12 @@
     assert compare_events([], backends).imbalance == 2.0
 
 
+def test_change_by_another_clock_is_refused() -> None:
+    changes = Changes(drains=(Drain("h1", 1_800_000_000.0),))
+    with pytest.raises(ValueError, match="not within"):
+        compare_events([], [build_start("h1", "i1"), build_run("1")], changes)
+
+
 def test_late_work_is_measured_from_the_order() -> None:
     backends: list[Event] = [
         PacketsReceived(8.2, "h2", 1, 7.5),
