Count only a balancer's own refusals in its burn

Cause: a balancer also tells callers the refusals of agents, which the agents have counted; both would have been added up. A refusal of its own is followed by its count.

Conclusion: the observer tests pass, one of them driving the balancer's decisions.

--- a/src/balsamstream/report/observer.py
+++ b/src/balsamstream/report/observer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
 from typing import TYPE_CHECKING, Final
 
 from ..core.identity import NO_REQUEST
@@ -83,6 +84,9 @@
 class BalancerObserver:
     """Counts the refusals that a balancer makes itself.
 
+    The decisions count a refusal of their own right after it; one without a count is
+    an agent's, which the agent has counted.
+
     Parameters
     ----------
     record : BurnRecord
@@ -99,8 +103,8 @@
 
     def note_actions(self, actions: Sequence[Action], wall: float) -> None:
         """Count what actions mean, at a time in seconds of Unix time."""
-        for action in actions:
-            if not isinstance(action, RefuseCaller):
+        for action, following in pairwise(actions):
+            if not isinstance(action, RefuseCaller) or not isinstance(following, Count):
                 continue
             service = self._find_name(action.service)
             if service is not None:
--- a/tests/report/test_observer.py
+++ b/tests/report/test_observer.py
@@ -2,13 +2,26 @@
 
 from __future__ import annotations
 
-from balsamstream.core.identity import NO_REQUEST, Address, FlowKey, RequestKey
+import random
+
+from balsamstream.config import Address as ConfigAddress
+from balsamstream.config import Profile, ServiceSpec
+from balsamstream.core.balancer import BalancerConfig, BalancerDecisions
+from balsamstream.core.catalogue import ServiceEntry, number_service
+from balsamstream.core.identity import (
+    NO_REQUEST,
+    Address,
+    FlowKey,
+    ProcessRef,
+    RequestKey,
+)
 from balsamstream.core.message import (
     Cancel,
     Count,
     Deliver,
     Refusal,
     RefuseCaller,
+    RequestKind,
     Send,
 )
 from balsamstream.core.routing import RoutingVersion
@@ -64,8 +77,28 @@
 def test_balancer_counts_its_own_refusals_of_known_services() -> None:
     record = BurnRecord("balancer-1", "medina")
     observer = BalancerObserver(record, {7: "comptoir"}.get)
-    refusals = [
-        RefuseCaller(number, CALLER, NotRun(1.0, "no host"), b"") for number in (7, 8)
-    ]
-    observer.note_actions([*refusals, refuse(NotRun(1.0, "relayed"))], WALL_S)
+    own, unknown, relayed = (
+        RefuseCaller(number, CALLER, NotRun(1.0, "no host"), b"")
+        for number in (7, 8, 7)
+    )
+    counted = Count("refused_not_run")
+    observer.note_actions([own, counted, unknown, counted, relayed], WALL_S)
+    observer.note_actions([relayed], WALL_S)
     assert read_slot(record).refused_not_run == 1
+
+
+def test_balancer_counts_what_its_decisions_refuse() -> None:
+    decisions, entry = make_balancer_without_hosts()
+    record = BurnRecord("balancer-1", "medina")
+    observer = BalancerObserver(record, {entry.number: "comptoir"}.get)
+    kind = RequestKind.REPEATABLE
+    actions = decisions.route(entry, FLOW, CALLER, kind, RequestKey(5), b"", 1.0)
+    observer.note_actions(actions, WALL_S)
+    assert read_slot(record).refused_not_run == 1
+
+
+def make_balancer_without_hosts() -> tuple[BalancerDecisions, ServiceEntry]:
+    config = BalancerConfig(ProcessRef("balancer-1", 1), CALLER, "medina", 10)
+    spec = ServiceSpec("comptoir", ConfigAddress("127.0.0.1", 5683), "counter")
+    entry = ServiceEntry(number_service("comptoir"), spec, Profile("counter"))
+    return BalancerDecisions(config, random.Random(3)), entry
