Save a read after a conflict and never list in a tight loop

Cause: a conflict already brings the object along, yet a change read it again; with many hosts joining one view that doubled the reads. An apply whose objects are all written no longer undoes them only because the last look at the others' changes got no answer; it warns.

--- a/src/balsamstream/command/apply.py
+++ b/src/balsamstream/command/apply.py
@@ -94,10 +94,15 @@
         return Success(_show(steps, "would "))
     progress = _Progress()
     fault = await _write_steps(client, steps, progress)
+    warnings: tuple[str, ...] = ()
     if fault is None and progress.written:
-        fault = await _check_again(client, loaded)
+        checked = await _check_again(client, loaded)
+        if isinstance(checked, Success):
+            warnings = checked.unwrap()
+        else:
+            fault = checked.failure()
     if fault is None:
-        return Success(_show(steps, ""))
+        return Success(_show(steps, "", warnings))
     await _undo(client, progress)
     return Failure(_describe_failure(fault, steps, progress))
 
@@ -121,19 +126,20 @@
 
 async def _check_again(
     client: PlatformClient, loaded: list[LoadedObject]
-) -> Fault | None:
+) -> Result[tuple[str, ...], Fault]:
+    """Check the set after it was written; gives warnings, or what clashes."""
     # Two operators may have written at once what only together is wrong: each
     # checks after its own writes, so at least one of them sees the other's.
-    match await list_declared(client):
-        case Success(stored):
-            problems = check_set(loaded, read_held(stored))
-        case Failure(fault):
-            return Fault(ExitCode.UNAVAILABLE, fault.lines)
+    stored = await list_declared(client)
+    if not isinstance(stored, Success):
+        line = "warning: it could not be checked whether another's change clashes"
+        return Success((line,))
+    problems = check_set(loaded, read_held(stored.unwrap()))
     if not problems:
-        return None
+        return Success(())
     lines = ("another operator's change clashes with this one",)
     fault = build_problem_fault(problems)
-    return Fault(ExitCode.CONFLICT, lines + fault.lines, fault.value)
+    return Failure(Fault(ExitCode.CONFLICT, lines + fault.lines, fault.value))
 
 
 async def _undo(client: PlatformClient, progress: _Progress) -> None:
@@ -178,7 +184,7 @@
     return Fault(code, kept + tuple(lines), fault.value | value)
 
 
-def _show(steps: list[Step], prefix: str) -> Output:
+def _show(steps: list[Step], prefix: str, lines: tuple[str, ...] = ()) -> Output:
     rows = tuple(
         (step.kind.value, step.name, prefix + step.action.value) for step in steps
     )
@@ -186,7 +192,7 @@
         {"kind": step.kind.value, "name": step.name, "action": step.action.value}
         for step in steps
     ]
-    return Output(value, (Table(("kind", "name", "action"), rows),))
+    return Output(value, (Table(("kind", "name", "action"), rows),), lines)
 
 
 __all__ = ["apply_files", "list_declared"]
--- a/src/balsamstream/platform/client.py
+++ b/src/balsamstream/platform/client.py
@@ -254,29 +254,32 @@
         """
         error: PlatformError = Unavailable(False)
         lost = False
+        known: StoredObject | None = None
         for failures in range(MOST_TRIES):
             if failures:
                 await self._wait(failures, error)
-            read = await self._read(kind, name)
-            if not isinstance(read, Success):
-                error = read.failure()
-                if not isinstance(error, Unavailable | Limited):
-                    return Failure(error)
-                continue
-            base = read.unwrap()
-            spec = function(base)
+            if known is None:
+                read = await self._read(kind, name)
+                if not isinstance(read, Success):
+                    error = read.failure()
+                    if not isinstance(error, Unavailable | Limited):
+                        return Failure(_mark_lost(error, lost))
+                    continue
+                known = read.unwrap()
+            spec = function(known)
             if spec is None:
-                return Failure(Missing()) if base is None else Success(base)
-            result = await self.write(kind, name, base, spec)
+                return Failure(Missing()) if known is None else Success(known)
+            result = await self.write(kind, name, known, spec)
             if isinstance(result, Success):
                 return result
             error = result.failure()
             match error:
-                case Conflict(_, may_have_taken_effect):
+                case Conflict(current, may_have_taken_effect):
+                    # A conflict brings the object along, which saves a read.
+                    known = current
                     lost = lost or may_have_taken_effect
                 case Missing():
-                    # It was deleted after it was read.
-                    continue
+                    known = None
                 case _:
                     return Failure(_mark_lost(error, lost))
         return Failure(_mark_lost(error, lost))
--- a/src/balsamstream/platform/watch.py
+++ b/src/balsamstream/platform/watch.py
@@ -165,7 +165,6 @@
         if listing.version < self._version:
             text = f"a list at {listing.version} is older than {self._version}"
             return await self._interrupt(text)
-        self._failures = 0
         self._version = listing.version
         return Snapshot(listing.version, listing.objects)
 
@@ -174,11 +173,14 @@
         async with contextlib.aclosing(self._stream(self._version)) as items:
             async for item in items:
                 if isinstance(item, StreamEnd):
-                    if item.cause is not EndCause.IDLE:
-                        yield await self._end_stream(item)
+                    if item.cause is EndCause.IDLE:
+                        self._failures = 0
+                        return
+                    yield await self._end_stream(item)
                     return
                 event = self._read_line(item.data)
                 if event is None:
+                    await self._pause_before_list()
                     yield None
                     return
                 self._failures = 0
@@ -190,6 +192,7 @@
         if answer is None:
             return await self._interrupt(end.text or "the watch was closed")
         if answer.status == STATUS_GONE:
+            await self._pause_before_list()
             return None
         delay_s = None
         if answer.status == STATUS_LIMITED:
@@ -197,6 +200,13 @@
         text = f"the watch was refused with {answer.status}"
         return await self._interrupt(text, delay_s)
 
+    async def _pause_before_list(self) -> None:
+        # A list may be too old for the stream again: do not ask in a tight loop.
+        if self._failures:
+            delay_s = self._backoff.draw_delay_s(self._failures, self._source)
+            await self._sleep(delay_s)
+        self._failures += 1
+
     def _read_line(self, data: bytes) -> WatchEvent | _Skipped | None:
         try:
             kind, content = read_event(data)
