--- a/src/balsamstream/command/printer.py
+++ b/src/balsamstream/command/printer.py
@@ -33,7 +33,9 @@
     if form is Form.JSON:
         print(_write_json(output.value))
         return
-    for table in output.tables:
+    for position, table in enumerate(output.tables):
+        if position:
+            print()
         _show_table(table)
     for line in output.lines:
         print(line)
--- a/src/balsamstream/command/show.py
+++ b/src/balsamstream/command/show.py
@@ -8,6 +8,7 @@
 
 from ..config import API_VERSION, Kind
 from .fleet import find_data_centre, list_hosts
+from .layout import lay_out
 from .outcome import Output, Table, build_platform_fault
 
 if TYPE_CHECKING:
@@ -95,17 +96,18 @@
 
 
 def _describe(stored: StoredObject, objects: Sequence[StoredObject]) -> Output:
+    details = lay_out(stored.spec)
     rows = [
         ("kind", stored.kind.value),
         ("name", stored.name),
         ("version", str(stored.version)),
         ("changed by", stored.changed_by),
-        *_flatten("", stored.spec),
+        *details.rows,
     ]
     related = _find_related(stored, objects)
     value = write_object(stored)
     value["related"] = {title: list(names) for title, names in related.items()}
-    tables = [Table(("field", "value"), tuple(rows))]
+    tables = [Table(("field", "value"), tuple(rows)), *details.tables]
     for title, names in related.items():
         tables.append(Table((title,), tuple((name,) for name in names)))
     return Output(value, tuple(tables))
@@ -139,20 +141,4 @@
             return {}
 
 
-def _flatten(path: str, value: Any) -> list[tuple[str, str]]:  # noqa: ANN401 - JSON
-    if isinstance(value, dict):
-        rows: list[tuple[str, str]] = []
-        for key, part in value.items():
-            rows.extend(_flatten(f"{path}.{key}" if path else str(key), part))
-        return rows
-    if isinstance(value, list) and any(isinstance(part, dict) for part in value):
-        rows = []
-        for index, part in enumerate(value):
-            rows.extend(_flatten(f"{path}.{index}", part))
-        return rows
-    if isinstance(value, list):
-        return [(path, ", ".join(str(part) for part in value))]
-    return [(path, str(value))]
-
-
 __all__ = ["describe_object", "get_objects", "write_object"]
--- a/src/balsamstream/command/status.py
+++ b/src/balsamstream/command/status.py
@@ -10,6 +10,7 @@
 from ..config import DataCentreState, Kind
 from .daemons import read_daemons
 from .fleet import Host, find_data_centre, list_hosts
+from .layout import lay_out
 from .outcome import Output, Table, build_platform_fault
 
 if TYPE_CHECKING:
@@ -124,8 +125,7 @@
     for address, page in pages.items():
         match page:
             case Success(values):
-                for key, value in values.items():
-                    rows.append((address, str(key), str(value)))
+                rows.extend((address, *row) for row in lay_out(values).rows)
             case Failure(text):
                 rows.append((address, "error", text))
     return Table(("daemon", "field", "value"), tuple(rows), "daemons")
--- a/tests/command/test_operations.py
+++ b/tests/command/test_operations.py
@@ -152,6 +152,9 @@
             await client.create(Kind.BALANCER, "balancer-1", balancer)
             shown = await describe_object(client, Kind.PROFILE, "counter")
             assert shown.unwrap().value["related"] == {"services": ["comptoir"]}
+            view = (await describe_object(client, Kind.VIEW, "comptoir")).unwrap()
+            titles = ["", "members", "voter_sets.0.voters"]
+            assert [table.title for table in view.tables] == titles
             views = await get_objects(client, Kind.VIEW, None)
             assert views.unwrap().tables[0].rows[0][:3] == ("comptoir", "7", "2")
             status = (await show_status(client, ["127.0.0.1:1"])).unwrap().value
