Count burn in the daemons and let agents find balancers through the platform

Cause: an agent whose peers are agents too never learned of a balancer, and waited five seconds before it read the platform. Agents' answers do not put its next read off, because all of them may have lost touch together.

--- a/src/balsamstream/daemon/agent.py
+++ b/src/balsamstream/daemon/agent.py
@@ -6,21 +6,26 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from balsamstream.core.agent import AgentConfig, AgentDecisions
-from balsamstream.core.identity import Address
+from balsamstream.core.identity import NO_REQUEST, Address
 from balsamstream.core.message import (
     Cancel,
+    Changes,
     CloseFlow,
     Count,
     Deliver,
     EditView,
+    Refusal,
     RefuseCaller,
     ReturnToCaller,
     Send,
 )
 from balsamstream.edge.protocols import find_protocol
+from balsamstream.report.burn import HostLoad
 
 from .backend import BackendSockets
+from .platform_link import read_balancers
 from .role import Role
+from .sources import ReadSchedule
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -32,8 +37,7 @@
     from .settings import AgentSettings, Settings
 
 BACKEND: Final = "backend"
-FETCH_AFTER_S: Final = 5.0
-"""Without configuration for so long the platform itself is asked."""
+BROKEN_FLOWS: Final = "broken_flows"
 
 
 class Agent(Role):
@@ -59,7 +63,7 @@
             tuple(Address(*peer) for peer in settings.peers),
         )
         self._decisions = AgentDecisions(config, random.Random(ref.incarnation))
-        self._next_fetch = self.clock.last.monotonic + FETCH_AFTER_S
+        self._reads = ReadSchedule(self.clock.last.monotonic)
 
     def begin_stop(self) -> None:
         """Take no new flows and finish what is held."""
@@ -94,6 +98,8 @@
     def take_answer(self, flow: FlowKey, request: RequestKey, payload: bytes) -> None:
         """Take a datagram of the backend server."""
         now = self.clock.last.monotonic
+        if request != NO_REQUEST:
+            self.burn.finish(self._agent.service, request, now)
         self.carry_out(self._decisions.take_answer(flow, request, payload, now))
 
     def notice_backend_refused(self, flow: FlowKey) -> None:
@@ -105,6 +111,9 @@
         self, sender: Address, message: Message, now: float
     ) -> Sequence[Action]:
         """Decide on a message."""
+        self._reads.note_message(sender, message, now)
+        if isinstance(message, Changes):
+            self._note_changes(sender, message, now)
         return self._decisions.receive(sender, message, now)
 
     def decide_pause(self, gap_s: float, now: float) -> Sequence[Action]:
@@ -120,15 +129,17 @@
         return self._backend.discard()
 
     async def follow_up(self) -> None:
-        """Follow the declared protocol, ask the platform at need, notice the end."""
+        """Follow the declared service, ask the platform at need, notice the end."""
         decisions = self._decisions
         entry = decisions.state.catalogue.find_service(self._agent.service)
         if entry is not None:
             self._backend.use_protocol(find_protocol(entry.spec.protocol))
-        self._fetch_at_need(self.clock.last.monotonic)
+            self.burn.note_profile(self._agent.service, entry.profile)
+        if self._reads.is_due(self.clock.last.monotonic):
+            self.link.fetch(self._agent.service)
+        self._show_load()
         if decisions.drained:
             self.has_stopped.set()
-        self.metrics.set_gauge("flows", len(decisions.state.flows))
 
     def carry_out(self, actions: Sequence[Action]) -> None:
         """Carry out actions in order."""
@@ -136,12 +147,15 @@
             match action:
                 case Send(to, message):
                     self.transport.send(to, message)
+                    if isinstance(message, Refusal):
+                        self.burn.refuse(self._agent.service, message.verdict)
                 case Deliver():
-                    self._backend.deliver(action)
+                    self._deliver(action)
                 case Count(name, amount):
-                    self.metrics.count(name, amount)
+                    self._count(name, amount)
                 case Cancel():
                     self._backend.cancel(action)
+                    self.burn.give_up(action.request)
                 case CloseFlow():
                     self._backend.close_flow(action)
                 case EditView():
@@ -149,12 +163,33 @@
                 case ReturnToCaller() | RefuseCaller():
                     self.metrics.count("unexpected_action")
 
-    def _fetch_at_need(self, now: float) -> None:
-        """Ask the platform while no peer gives the service's configuration."""
-        if self._decisions.state.profile is not None or now < self._next_fetch:
+    def _show_load(self) -> None:
+        state = self._decisions.state
+        flows = len(state.flows)
+        in_flight = 0 if state.admission is None else state.admission.in_flight
+        load = HostLoad(self.ref.name, self._agent.slots, flows, in_flight)
+        self.burn.note_host(self._agent.service, load)
+        self.metrics.set_gauge("flows", flows)
+        self.metrics.set_gauge("in_flight", in_flight)
+
+    def _deliver(self, action: Deliver) -> None:
+        if action.request != NO_REQUEST:
+            self.burn.begin(action.request, self.clock.last.monotonic)
+        self._backend.deliver(action)
+
+    def _count(self, name: str, amount: int) -> None:
+        self.metrics.count(name, amount)
+        if name == BROKEN_FLOWS:
+            self.burn.break_flows(self._agent.service, amount)
+
+    def _note_changes(self, sender: Address, changes: Changes, now: float) -> None:
+        """Learn of balancers from what the platform showed."""
+        if sender != self.transport.address:
             return
-        self._next_fetch = now + FETCH_AFTER_S
-        self.link.fetch()
+        addresses = [entry.address for entry in read_balancers(changes.objects)]
+        self._reads.note_balancers(addresses)
+        for address in addresses:
+            self._decisions.follower.note_source(address, now)
 
 
 __all__ = ["BACKEND", "Agent"]
--- a/src/balsamstream/daemon/balancer.py
+++ b/src/balsamstream/daemon/balancer.py
@@ -14,6 +14,7 @@
     Count,
     Deliver,
     EditView,
+    Refusal,
     RefuseCaller,
     ReturnToCaller,
     Send,
@@ -64,6 +65,7 @@
         self._registration = Registration(ref, config.address, config.data_centre)
         self._next_registration = 0.0
         self._is_stopping = False
+        self._is_relaying = False
         kernel.add(EDGE, self._edge)
 
     def begin_stop(self) -> None:
@@ -130,6 +132,8 @@
         self, sender: Address, message: Message, now: float
     ) -> Sequence[Action]:
         """Decide on a message."""
+        # A host's own verdict is counted there.
+        self._is_relaying = isinstance(message, Refusal)
         return self._decisions.receive(sender, message, now)
 
     def decide_pause(self, gap_s: float, now: float) -> Sequence[Action]:
@@ -161,12 +165,21 @@
                 case Count(name, amount):
                     self.metrics.count(name, amount)
                 case RefuseCaller():
-                    self._edge.refuse(action)
+                    self._refuse(action)
                 case EditView():
                     self.link.edit(action)
                 case Deliver() | Cancel() | CloseFlow():
                     self.metrics.count("unexpected_action")
 
+    def _refuse(self, action: RefuseCaller) -> None:
+        self._edge.refuse(action)
+        if self._is_relaying:
+            return
+        catalogue = self._decisions.catalogue
+        entry = catalogue.find_service_by_number(action.service)
+        if entry is not None:
+            self.burn.refuse(entry.spec.name, action.verdict)
+
     def _register_at_need(self, now: float) -> None:
         if self._is_stopping or now < self._next_registration:
             return
--- a/src/balsamstream/daemon/daemon.py
+++ b/src/balsamstream/daemon/daemon.py
@@ -15,10 +15,11 @@
 from balsamstream.platform.client import PlatformClient
 from balsamstream.platform.transport import HttpTransport
 
+from .burn import BurnCounter
 from .logs import configure_logs
 from .metrics import Metrics
 from .platform_link import PlatformLink
-from .role import METRICS, PLATFORM, ROLE, TRANSPORT, Role
+from .role import BURN, METRICS, PLATFORM, ROLE, TRANSPORT, Role
 from .settings import AgentSettings, BalancerSettings, Settings, load_settings
 from .status import StatusPage
 from .transport import Transport
@@ -77,6 +78,7 @@
         address = Address(*settings.address)
         metrics = Metrics(kernel, settings.metrics, settings.name)
         kernel.add(METRICS, metrics)
+        kernel.add(BURN, BurnCounter(settings.name, settings.data_centre))
         transport = Transport(ref, address, settings.keys, metrics)
         role = self._build_role(transport, ref)
         http = HttpTransport(settings.platform.url, settings.platform.ca_file)
--- a/src/balsamstream/daemon/platform_link.py
+++ b/src/balsamstream/daemon/platform_link.py
@@ -34,7 +34,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Iterable, Sequence
 
     from balsamstream.core.view import ViewEdit, Voter
     from balsamstream.kernel import Kernel
@@ -141,12 +141,12 @@
             return
         self._kernel.start_task("platform_watch", self._watch())
 
-    def fetch(self) -> None:
-        """Read everything once, if no read is under way."""
+    def fetch(self, service: str) -> None:
+        """Read once what concerns a service, if no read is under way."""
         if self._is_fetching:
             return
         self._is_fetching = True
-        self._kernel.start_task("platform_fetch", self._fetch())
+        self._kernel.start_task("platform_fetch", self._fetch(service))
 
     def register(self, registration: Registration) -> None:
         """Announce this balancer, trying until it is done."""
@@ -190,7 +190,7 @@
                     edit=type(action.edit).__name__,
                     number=stored.spec.get("number"),
                 )
-                self._take(_convert_one(stored))
+                self._take(_convert_some([stored]))
             case Failure(error):
                 self._metrics.count("view_edits_failed")
                 self._log.warning(
@@ -206,7 +206,7 @@
             return self._spares
         listed = await self._client.list(Kind.BALANCER)
         if isinstance(listed, Success):
-            entries = _read_balancers(listed.unwrap().objects)
+            entries = read_balancers(map(_convert_object, listed.unwrap().objects))
             self._spares = list_spare_voters(entries)
             self._spares_until = now + SPARES_KEPT_S
         return self._spares
@@ -223,16 +223,34 @@
             seen = changes.up_to
             self._take(changes)
 
-    async def _fetch(self) -> None:
+    async def _fetch(self, service: str) -> None:
         try:
-            listed = await self._client.list_all()
+            objects = await self._read_service(service)
         finally:
             self._is_fetching = False
-        if not isinstance(listed, Success):
+        if not objects:
             self._metrics.count("platform_fetch_failed")
             return
-        listing = listed.unwrap()
-        self._take(_convert_snapshot(listing.version, listing.objects))
+        self._take(_convert_some(objects))
+
+    async def _read_service(self, service: str) -> list[StoredObject]:
+        """Read a service, its profile and view, data centres and balancers."""
+        objects: list[StoredObject] = []
+        found = await self._client.get(Kind.SERVICE, service)
+        if isinstance(found, Success):
+            spec = found.unwrap().spec
+            objects.append(found.unwrap())
+            profile = await self._client.get(Kind.PROFILE, str(spec.get("profile")))
+            if isinstance(profile, Success):
+                objects.append(profile.unwrap())
+        view = await self._client.get(Kind.VIEW, service)
+        if isinstance(view, Success):
+            objects.append(view.unwrap())
+        for kind in (Kind.DATA_CENTRE, Kind.BALANCER):
+            listed = await self._client.list(kind)
+            if isinstance(listed, Success):
+                objects.extend(listed.unwrap().objects)
+        return objects
 
     # --- registration --------------------------------------------------------------
 
@@ -255,7 +273,7 @@
         result = await self._client.change(Kind.BALANCER, name, announce)
         match result:
             case Success(stored):
-                self._take(_convert_one(stored))
+                self._take(_convert_some([stored]))
                 return True
             case Failure(error):
                 self._log.warning("register_failed", error=str(error)[:200])
@@ -311,27 +329,37 @@
     return Changes(0, version, True, False, tuple(found))
 
 
-def _convert_one(stored: StoredObject) -> Changes:
-    """Turn one object into changes that claim nothing of other objects."""
-    found = _convert_object(stored)
-    return Changes(stored.version, stored.version, False, False, (found,))
+def _convert_some(objects: Sequence[StoredObject]) -> Changes:
+    """Turn objects into changes that claim nothing of others."""
+    found = sorted(map(_convert_object, objects), key=lambda each: each.version)
+    newest = found[-1].version
+    return Changes(newest, newest, False, False, tuple(found))
 
 
 def _convert_object(stored: StoredObject) -> ConfigObject:
     return ConfigObject(stored.kind.value, stored.name, stored.version, stored.spec)
 
 
-def _read_balancers(objects: Sequence[StoredObject]) -> list[BalancerEntry]:
+def read_balancers(objects: Iterable[ConfigObject]) -> list[BalancerEntry]:
+    """Return the balancers among objects, leaving out what can't be read."""
     entries = []
-    for stored in objects:
+    for found in objects:
+        if found.kind != Kind.BALANCER.value or found.spec is None:
+            continue
         try:
-            ref = ProcessRef(stored.name, int(stored.spec["incarnation"]))
-            address = parse_address(stored.spec["address"])
-            entry = BalancerEntry(ref, address, str(stored.spec["data_centre"]))
+            ref = ProcessRef(found.name, int(found.spec["incarnation"]))
+            address = parse_address(found.spec["address"])
+            entry = BalancerEntry(ref, address, str(found.spec["data_centre"]))
         except (KeyError, TypeError, ValueError):
             continue
         entries.append(entry)
     return entries
 
 
-__all__ = ["PlatformLink", "Registration", "apply_edit", "convert_event"]
+__all__ = [
+    "PlatformLink",
+    "Registration",
+    "apply_edit",
+    "convert_event",
+    "read_balancers",
+]
--- a/src/balsamstream/daemon/role.py
+++ b/src/balsamstream/daemon/role.py
@@ -10,6 +10,7 @@
 
 from balsamstream.kernel import Mailbox, Service
 
+from .burn import BurnCounter
 from .clocks import PauseDetector
 from .metrics import Metrics
 from .platform_link import PlatformLink
@@ -29,6 +30,7 @@
 
 TRANSPORT: Final = "transport"
 METRICS: Final = "metrics"
+BURN: Final = "burn"
 PLATFORM: Final = "platform"
 ROLE: Final = "role"
 
@@ -52,6 +54,7 @@
         self.ref = ref
         self.transport = kernel.find(TRANSPORT, Transport)
         self.metrics = kernel.find(METRICS, Metrics)
+        self.burn = kernel.find(BURN, BurnCounter)
         self.log = structlog.get_logger("balsamstream.daemon")
         self.clock = PauseDetector(self._handle_pause)
         self.has_stopped = asyncio.Event()
@@ -144,4 +147,4 @@
         """Do after each tick what needs other services."""
 
 
-__all__ = ["METRICS", "PLATFORM", "ROLE", "TRANSPORT", "Role"]
+__all__ = ["BURN", "METRICS", "PLATFORM", "ROLE", "TRANSPORT", "Role"]
--- a/src/balsamstream/daemon/status.py
+++ b/src/balsamstream/daemon/status.py
@@ -8,8 +8,9 @@
 from balsamstream import VERSION
 from balsamstream.kernel import Service
 
+from .burn import BurnCounter
 from .metrics import Metrics
-from .role import METRICS, ROLE, Role
+from .role import BURN, METRICS, ROLE, Role
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -90,7 +91,7 @@
     async def _answer_burn(self, _request: web.Request) -> web.Response:
         from aiohttp import web
 
-        return web.json_response({"services": {}})
+        return web.json_response(self._kernel.find(BURN, BurnCounter).describe())
 
 
 __all__ = ["StatusPage"]
