--- a/src/balsamstream/command/run.py
+++ b/src/balsamstream/command/run.py
@@ -11,10 +11,12 @@
 
 from .. import VERSION
 from ..config import DataCentreState, Kind, find_kind
+from ..core.view import MemberState
 from .apply import apply_files
-from .change import ACTIVE, DRAINING, change_data_centre, change_host
 from .check import check_files
+from .datacentre import change_data_centre
 from .delete import delete_object
+from .host import change_host
 from .outcome import Outcome, Output
 from .printer import show_outcome
 from .report import report_burn
@@ -168,7 +170,8 @@
     service : str
         Service of the host; needed only where several have a host of this name.
     """
-    return run_on_platform(options, lambda c: change_host(c, name, DRAINING, service))
+    state = MemberState.DRAINING
+    return run_on_platform(options, lambda c: change_host(c, name, state, service))
 
 
 @host_app.command(name="undrain")
@@ -184,7 +187,8 @@
     service : str
         Service of the host; needed only where several have a host of this name.
     """
-    return run_on_platform(options, lambda c: change_host(c, name, ACTIVE, service))
+    state = MemberState.ACTIVE
+    return run_on_platform(options, lambda c: change_host(c, name, state, service))
 
 
 @data_centre_app.command(name="out")
