--- a/src/balsamstream/daemon/burn.py
+++ b/src/balsamstream/daemon/burn.py
@@ -4,12 +4,12 @@
 
 import time
 from collections import OrderedDict
-from dataclasses import asdict
 from typing import TYPE_CHECKING, Any, Final
 
 from balsamstream.core.verdict import MayHaveRun, NotRun
 from balsamstream.kernel import Service
 from balsamstream.report.record import BurnRecord
+from balsamstream.report.schema import write_page
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -52,7 +52,7 @@
 
     def describe(self) -> dict[str, Any]:
         """Return the page as it is served."""
-        return asdict(self._record.build_page(self._read_wall()))
+        return write_page(self._record.build_page(self._read_wall()))
 
     def note_profile(self, service: str, profile: Profile) -> None:
         """Measure a service by its profile's objectives from now on."""
@@ -90,8 +90,7 @@
 
     def break_flows(self, service: str, amount: int) -> None:
         """Count flows that were lost."""
-        for _ in range(amount):
-            self._record.count_broken_flow(service, self._read_wall())
+        self._record.count_broken_flows(service, self._read_wall(), amount)
 
 
 __all__ = ["BurnCounter"]
--- a/src/balsamstream/daemon/edge.py
+++ b/src/balsamstream/daemon/edge.py
@@ -62,11 +62,11 @@
         self, settings: EdgeSettings, catalogue: Catalogue, metrics: Metrics
     ) -> None:
         self._settings = settings
-        self._listen = Address(*settings.listen)
+        self.listen = Address(*settings.listen)
         self._catalogue = catalogue
-        self._metrics = metrics
+        self.metrics = metrics
         take = self._take_relayed if settings.proxy_protocol else self._take_direct
-        self._socket = DatagramSocket("edge", self._listen, take, metrics)
+        self._socket = DatagramSocket("edge", self.listen, take, metrics)
         self._fabric: tuple[str, int] | None = None
         self._fabric_by_caller: dict[Address, tuple[str, int]] = {}
         self._taker: DatagramTaker | None = None
@@ -103,7 +103,7 @@
         """Send an answer to its caller."""
         entry = self._catalogue.find_service_by_number(action.service)
         if entry is None:
-            self._metrics.count("lost.answer_without_service")
+            self.metrics.count("lost.answer_without_service")
             return
         self._send(entry, action.caller, action.payload)
 
@@ -111,12 +111,12 @@
         """Send a refusal to its caller, where the protocol has one."""
         entry = self._catalogue.find_service_by_number(action.service)
         if entry is None:
-            self._metrics.count("lost.refusal_without_service")
+            self.metrics.count("lost.refusal_without_service")
             return
         protocol = find_protocol(entry.spec.protocol)
         refusal = protocol.build_refusal(action.head, action.verdict)
         if refusal is None:
-            self._metrics.count("lost.refusal_without_form")
+            self.metrics.count("lost.refusal_without_form")
             return
         self._send(entry, action.caller, refusal)
 
@@ -126,7 +126,7 @@
             return
         fabric = self._fabric_by_caller.get(caller, self._fabric)
         if fabric is None:
-            self._metrics.count("lost.no_fabric")
+            self.metrics.count("lost.no_fabric")
             return
         header = encode_header(Address(*entry.spec.address), caller)
         self._socket.send(header + payload, fabric)
@@ -135,25 +135,25 @@
         try:
             endpoints, payload = split_datagram(datagram)
         except ProxyHeaderError:
-            self._metrics.count("lost.proxy_header")
+            self.metrics.count("lost.proxy_header")
             return
         if source != self._fabric or self._fabric_by_caller:
             self._note_fabric(endpoints.source, source)
         self._take(endpoints.destination, endpoints.source, payload)
 
     def _take_direct(self, datagram: bytes, source: tuple[str, int]) -> None:
-        self._take(self._listen, Address(*source), datagram)
+        self._take(self.listen, Address(*source), datagram)
 
     def _take(self, service: Address, caller: Address, payload: bytes) -> None:
         entry = self._catalogue.find_service_by_address(service)
         if entry is None:
-            self._metrics.count("lost.unknown_service")
+            self.metrics.count("lost.unknown_service")
             return
         flow = compute_flow_key(entry.spec.name, caller)
         protocol = find_protocol(entry.spec.protocol)
         classified = protocol.classify(flow, payload, entry.profile.requests)
         if classified is None:
-            self._metrics.count("lost.malformed")
+            self.metrics.count("lost.malformed")
             return
         if self._taker is not None:
             self._taker.take_datagram(entry, flow, caller, classified, payload)
--- /dev/null
+++ b/tests/daemon/sockets.py
@@ -0,0 +1,53 @@
+"""Sockets and stand-ins that the daemon's tests share."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING
+
+from balsamstream.core.identity import Address
+from balsamstream.daemon.metrics import Metrics
+from balsamstream.kernel import Kernel
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+WAIT_S = 5.0
+
+
+def find_free_address() -> Address:
+    """Return a loopback address that nobody listens on."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return Address(*probe.getsockname())
+
+
+def open_peer() -> socket.socket:
+    """Open a bound non-blocking socket."""
+    peer = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    peer.bind(("127.0.0.1", 0))
+    peer.setblocking(False)
+    return peer
+
+
+def make_metrics() -> Metrics:
+    """Make counters that go nowhere."""
+    return Metrics(Kernel(), None, "test")
+
+
+async def receive(peer: socket.socket) -> tuple[bytes, tuple[str, int]]:
+    """Wait for a datagram."""
+    loop = asyncio.get_running_loop()
+    return await asyncio.wait_for(loop.sock_recvfrom(peer, 65_535), WAIT_S)
+
+
+async def wait_until(is_true: Callable[[], bool]) -> None:
+    """Wait until something holds."""
+    async with asyncio.timeout(WAIT_S):
+        while not is_true():
+            await asyncio.sleep(0.005)
+
+
+def ignore_batch() -> None:
+    """Do nothing before a batch."""
--- /dev/null
+++ b/tests/daemon/test_backend.py
@@ -0,0 +1,160 @@
+"""Sockets towards the backend server."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+from balsamstream.config.objects import Protocol
+from balsamstream.core.identity import NO_REQUEST, Address, FlowKey, RequestKey
+from balsamstream.core.message import Cancel, CloseFlow, Deliver
+from balsamstream.daemon.backend import BackendSockets
+from balsamstream.edge.coap_message import MessageType, build_message, build_option
+from balsamstream.edge.protocols import find_protocol
+from tests.daemon.sockets import (
+    find_free_address,
+    ignore_batch,
+    make_metrics,
+    open_peer,
+    receive,
+    wait_until,
+)
+
+if TYPE_CHECKING:
+    import socket
+    from collections.abc import AsyncIterator
+
+CALLER = Address("192.0.2.1", 1)
+FLOW = FlowKey(1)
+REQUEST = RequestKey(7)
+DATAGRAM = build_message(MessageType.CON, 1, 9, b"t")
+ANSWER = build_message(MessageType.ACK, 69, 9, b"t")
+
+
+class Taker:
+    """Records what the backend server sends."""
+
+    def __init__(self) -> None:
+        self.answers: list[tuple[FlowKey, RequestKey, bytes]] = []
+        self.refused: list[FlowKey] = []
+
+    def take_answer(self, flow: FlowKey, request: RequestKey, payload: bytes) -> None:
+        """Record an answer."""
+        self.answers.append((flow, request, payload))
+
+    def notice_backend_refused(self, flow: FlowKey) -> None:
+        """Record a refused datagram."""
+        self.refused.append(flow)
+
+
+@asynccontextmanager
+async def run_sockets(address: Address) -> AsyncIterator[tuple[BackendSockets, Taker]]:
+    taker = Taker()
+    sockets = BackendSockets(address, make_metrics())
+    sockets.connect(taker, ignore_batch)
+    sockets.use_protocol(find_protocol(Protocol.COAP))
+    await sockets.start()
+    try:
+        yield sockets, taker
+    finally:
+        await sockets.close()
+
+
+def make_deliver(
+    flow: FlowKey = FLOW, request: RequestKey = REQUEST, payload: bytes = DATAGRAM
+) -> Deliver:
+    return Deliver(flow, CALLER, request, 1500, payload)
+
+
+def get_address(peer: socket.socket) -> Address:
+    return Address(*peer.getsockname())
+
+
+def test_a_request_goes_with_its_deadline_and_its_answer_is_matched() -> None:
+    async def run() -> None:
+        with open_peer() as server:
+            async with run_sockets(get_address(server)) as (sockets, taker):
+                sockets.deliver(make_deliver())
+                datagram, source = await receive(server)
+                assert datagram.startswith(DATAGRAM)
+                assert datagram.endswith((1500).to_bytes(2, "big"))
+                server.sendto(ANSWER, source)
+                server.sendto(ANSWER, source)
+                await wait_until(lambda: len(taker.answers) == 2)
+                assert taker.answers == [
+                    (FLOW, REQUEST, ANSWER),
+                    (FLOW, NO_REQUEST, ANSWER),
+                ]
+
+    asyncio.run(run())
+
+
+def test_each_flow_has_its_own_socket_as_long_as_it_lives() -> None:
+    async def run() -> None:
+        with open_peer() as server:
+            async with run_sockets(get_address(server)) as (sockets, _):
+                sources = []
+                for flow in (1, 2, 1):
+                    sockets.deliver(make_deliver(FlowKey(flow), NO_REQUEST))
+                    datagram, source = await receive(server)
+                    assert datagram == DATAGRAM
+                    sources.append(source)
+                assert sources[0] == sources[2] != sources[1]
+                sockets.close_flow(CloseFlow(FLOW))
+                sockets.close_flow(CloseFlow(FLOW))
+                assert len(sockets) == 1
+
+    asyncio.run(run())
+
+
+def test_a_refused_port_is_noticed() -> None:
+    async def run() -> None:
+        async with run_sockets(find_free_address()) as (sockets, taker):
+            sockets.deliver(make_deliver())
+            await wait_until(lambda: bool(taker.refused))
+            assert set(taker.refused) == {FLOW}
+
+    asyncio.run(run())
+
+
+def test_an_observation_is_rejected_when_its_flow_closes() -> None:
+    async def run() -> None:
+        with open_peer() as server:
+            async with run_sockets(get_address(server)) as (sockets, taker):
+                sockets.deliver(make_deliver())
+                _, source = await receive(server)
+                notification = build_message(MessageType.CON, 69, 300, b"t")
+                server.sendto(notification + build_option(6, b"\x01"), source)
+                await wait_until(lambda: bool(taker.answers))
+                sockets.close_flow(CloseFlow(FLOW))
+                datagram, _ = await receive(server)
+                assert datagram == build_message(MessageType.RST, 0, 300)
+
+    asyncio.run(run())
+
+
+def test_the_answer_to_a_cancelled_request_completes_nothing() -> None:
+    async def run() -> None:
+        with open_peer() as server:
+            async with run_sockets(get_address(server)) as (sockets, taker):
+                sockets.deliver(make_deliver())
+                _, source = await receive(server)
+                sockets.cancel(Cancel(FLOW, REQUEST))
+                server.sendto(ANSWER, source)
+                await wait_until(lambda: bool(taker.answers))
+                assert taker.answers == [(FLOW, NO_REQUEST, ANSWER)]
+
+    asyncio.run(run())
+
+
+def test_sockets_are_bounded() -> None:
+    async def run() -> None:
+        with open_peer() as server:
+            async with run_sockets(get_address(server)) as (sockets, _):
+                sockets._most_sockets = 3
+                for flow in range(5):
+                    sockets.deliver(make_deliver(FlowKey(flow)))
+                assert len(sockets) == 3
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/daemon/test_edge.py
@@ -0,0 +1,197 @@
+"""The balancer's socket towards callers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+from balsamstream.config import Address as ConfigAddress
+from balsamstream.core.catalogue import Catalogue, ServiceEntry, number_service
+from balsamstream.core.identity import Address, FlowKey
+from balsamstream.core.message import (
+    Changes,
+    ConfigObject,
+    RefuseCaller,
+    RequestKind,
+    ReturnToCaller,
+)
+from balsamstream.core.routing import compute_flow_key
+from balsamstream.core.verdict import NotRun
+from balsamstream.daemon.edge import Edge
+from balsamstream.daemon.settings import EdgeSettings
+from balsamstream.edge.coap_message import MessageType, build_message, parse_head
+from balsamstream.edge.proxy_header import Endpoints, encode_header, split_datagram
+from tests.daemon.sockets import (
+    find_free_address,
+    ignore_batch,
+    make_metrics,
+    open_peer,
+    receive,
+    wait_until,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from balsamstream.edge.protocol import Classified
+
+SERVICE = "comptoir"
+ADDRESS = Address("198.51.100.1", 5683)
+CALLER = Address("192.0.2.1", 40_000)
+OTHER_CALLER = Address("192.0.2.2", 40_000)
+DATAGRAM = build_message(MessageType.CON, 2, 9, b"token")
+NUMBER = number_service(SERVICE)
+
+
+class Taker:
+    """Records callers' datagrams."""
+
+    def __init__(self) -> None:
+        self.taken: list[tuple[str, FlowKey, Address, RequestKind, bytes]] = []
+
+    def take_datagram(
+        self,
+        entry: ServiceEntry,
+        flow: FlowKey,
+        caller: Address,
+        classified: Classified,
+        payload: bytes,
+    ) -> None:
+        """Record a datagram."""
+        self.taken.append((entry.spec.name, flow, caller, classified.kind, payload))
+
+
+def make_catalogue(address: Address) -> Catalogue:
+    catalogue = Catalogue()
+    spec = {"address": str(address), "profile": "counter", "protocol": "coap"}
+    objects = (
+        ConfigObject("Profile", "counter", 1, {}),
+        ConfigObject("Service", SERVICE, 2, spec),
+    )
+    catalogue.accept(Changes(0, 2, True, False, objects))
+    return catalogue
+
+
+@asynccontextmanager
+async def run_edge(is_relayed: bool = True) -> AsyncIterator[tuple[Edge, Taker]]:
+    taker = Taker()
+    listen = find_free_address()
+    service = ADDRESS if is_relayed else listen
+    settings = EdgeSettings(ConfigAddress(*listen), is_relayed)
+    edge = Edge(settings, make_catalogue(service), make_metrics())
+    edge.connect(taker, ignore_batch)
+    await edge.start()
+    try:
+        yield edge, taker
+    finally:
+        await edge.close()
+
+
+def relay(payload: bytes, caller: Address = CALLER, to: Address = ADDRESS) -> bytes:
+    return encode_header(caller, to) + payload
+
+
+def test_a_relayed_request_is_taken_and_its_answer_goes_back() -> None:
+    async def run() -> None:
+        async with run_edge() as (edge, taker):
+            with open_peer() as fabric:
+                fabric.sendto(relay(DATAGRAM), edge.listen)
+                await wait_until(lambda: bool(taker.taken))
+                flow = compute_flow_key(SERVICE, CALLER)
+                kind = RequestKind.NON_REPEATABLE
+                assert taker.taken == [(SERVICE, flow, CALLER, kind, DATAGRAM)]
+                edge.return_answer(ReturnToCaller(NUMBER, CALLER, b"answer"))
+                datagram, _ = await receive(fabric)
+                assert split_datagram(datagram) == (
+                    Endpoints(ADDRESS, CALLER),
+                    b"answer",
+                )
+
+    asyncio.run(run())
+
+
+def test_a_caller_is_answered_through_the_fabric_that_relays_for_it() -> None:
+    async def run() -> None:
+        async with run_edge() as (edge, taker):
+            with open_peer() as first, open_peer() as second:
+                first.sendto(relay(DATAGRAM), edge.listen)
+                await wait_until(lambda: len(taker.taken) == 1)
+                second.sendto(relay(DATAGRAM, OTHER_CALLER), edge.listen)
+                await wait_until(lambda: len(taker.taken) == 2)
+                edge.return_answer(ReturnToCaller(NUMBER, CALLER, b"one"))
+                edge.return_answer(ReturnToCaller(NUMBER, OTHER_CALLER, b"two"))
+                assert (await receive(first))[0].endswith(b"one")
+                assert (await receive(second))[0].endswith(b"two")
+
+    asyncio.run(run())
+
+
+def test_a_direct_request_needs_no_header() -> None:
+    async def run() -> None:
+        async with run_edge(is_relayed=False) as (edge, taker):
+            with open_peer() as caller:
+                caller.sendto(DATAGRAM, edge.listen)
+                await wait_until(lambda: bool(taker.taken))
+                address = Address(*caller.getsockname())
+                assert taker.taken[0][2] == address
+                edge.return_answer(ReturnToCaller(NUMBER, address, b"answer"))
+                assert (await receive(caller))[0] == b"answer"
+
+    asyncio.run(run())
+
+
+def test_a_refusal_is_built_and_sent() -> None:
+    async def run() -> None:
+        async with run_edge() as (edge, taker):
+            with open_peer() as fabric:
+                fabric.sendto(relay(DATAGRAM), edge.listen)
+                await wait_until(lambda: bool(taker.taken))
+                verdict = NotRun(2.0, "full")
+                edge.refuse(RefuseCaller(NUMBER, CALLER, verdict, DATAGRAM))
+                datagram, _ = await receive(fabric)
+                head = parse_head(split_datagram(datagram)[1])
+                assert head is not None
+                assert (head.code, head.token) == (0xA3, b"token")
+
+    asyncio.run(run())
+
+
+def test_what_has_no_way_back_is_counted() -> None:
+    async def run() -> None:
+        async with run_edge() as (edge, _):
+            edge.return_answer(ReturnToCaller(1, CALLER, b""))
+            edge.return_answer(ReturnToCaller(NUMBER, CALLER, b""))
+            edge.refuse(RefuseCaller(1, CALLER, NotRun(1.0, ""), DATAGRAM))
+            edge.refuse(RefuseCaller(NUMBER, CALLER, NotRun(1.0, ""), b"junk"))
+            assert edge.metrics.counters == {
+                "lost.answer_without_service": 1,
+                "lost.no_fabric": 1,
+                "lost.refusal_without_form": 1,
+                "lost.refusal_without_service": 1,
+            }
+
+    asyncio.run(run())
+
+
+def test_hostile_datagrams_are_counted_and_dropped() -> None:
+    async def run() -> None:
+        async with run_edge() as (edge, taker):
+            drawn = random.Random(3)
+            with open_peer() as hostile:
+                for size in (0, 1, 27, 28, 29, 1500, 65_507):
+                    hostile.sendto(drawn.randbytes(size), edge.listen)
+                hostile.sendto(relay(b""), edge.listen)
+                hostile.sendto(relay(b"\xff" * 2000), edge.listen)
+                hostile.sendto(relay(DATAGRAM, to=CALLER), edge.listen)
+                hostile.sendto(relay(DATAGRAM), edge.listen)
+                await wait_until(lambda: bool(taker.taken))
+            assert len(taker.taken) == 1
+            assert edge.metrics.counters == {
+                "lost.malformed": 2,
+                "lost.proxy_header": 7,
+                "lost.unknown_service": 1,
+            }
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/daemon/test_logs.py
@@ -0,0 +1,59 @@
+"""Lines of key=value pairs at a bounded rate."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+from balsamstream.daemon.logs import (
+    EVENTS_AT_ONCE,
+    EVENTS_PER_S,
+    MOST_EVENT_NAMES,
+    RateLimit,
+    configure_logs,
+)
+from balsamstream.daemon.settings import LogLevel
+
+if TYPE_CHECKING:
+    import pytest
+
+
+def count_passed(limit: RateLimit, name: str, tries: int) -> int:
+    passed = 0
+    for _ in range(tries):
+        try:
+            limit(None, "info", {"event": name})
+        except structlog.DropEvent:
+            continue
+        passed += 1
+    return passed
+
+
+def test_an_event_is_bounded_and_others_are_not_held_back() -> None:
+    now = [0.0]
+    limit = RateLimit(lambda: now[0])
+    assert count_passed(limit, "often", 1000) == EVENTS_AT_ONCE
+    assert count_passed(limit, "rare", 1) == 1
+    now[0] += 1.0
+    line = limit(None, "info", {"event": "often"})
+    assert line["dropped_before"] == 1000 - EVENTS_AT_ONCE
+    assert count_passed(limit, "often", 1000) == EVENTS_PER_S - 1
+
+
+def test_the_names_kept_are_bounded() -> None:
+    limit = RateLimit(lambda: 0.0)
+    for number in range(3 * MOST_EVENT_NAMES):
+        count_passed(limit, f"event-{number}", 1)
+    assert len(limit._tokens) <= MOST_EVENT_NAMES
+
+
+def test_a_line_has_key_value_pairs(capsys: pytest.CaptureFixture[str]) -> None:
+    configure_logs(LogLevel.INFO)
+    log = structlog.get_logger("test")
+    log.debug("hidden")
+    log.info("ready", address="127.0.0.1:1", text="two words\nand a line")
+    structlog.reset_defaults()
+    (line,) = capsys.readouterr().out.splitlines()
+    assert "level=info event=ready address=127.0.0.1:1" in line
+    assert 'text="two words\\nand a line"' in line
--- /dev/null
+++ b/tests/daemon/test_metrics.py
@@ -0,0 +1,38 @@
+"""Counters and statsd."""
+
+from __future__ import annotations
+
+import asyncio
+
+from balsamstream.config import Address
+from balsamstream.daemon.metrics import MOST_NAMES, OVERFLOW_NAME, Metrics
+from balsamstream.daemon.settings import MetricsSettings
+from balsamstream.kernel import Kernel
+from tests.daemon.sockets import make_metrics, open_peer, receive
+
+
+def test_counters_go_to_statsd_once_as_a_sum() -> None:
+    async def run() -> str:
+        with open_peer() as statsd:
+            settings = MetricsSettings(Address(*statsd.getsockname()), "prefix")
+            metrics = Metrics(Kernel(), settings, "name")
+            await metrics.start()
+            for _ in range(5):
+                metrics.count("packets", 2)
+            metrics.set_gauge("flows", 3)
+            datagram, _ = await receive(statsd)
+            await metrics.close()
+            assert metrics.counters == {"packets": 10}
+            return datagram.decode()
+
+    lines = asyncio.run(run()).splitlines()
+    assert lines == ["prefix.name.packets:10|c", "prefix.name.flows:3|g"]
+
+
+def test_the_number_of_names_is_bounded() -> None:
+    metrics = make_metrics()
+    for number in range(MOST_NAMES + 50):
+        metrics.count(f"name-{number}")
+        metrics.set_gauge(f"name-{number}", 1.0)
+    assert metrics.counters[OVERFLOW_NAME] == 50
+    assert len(metrics.counters) == MOST_NAMES + 1
--- /dev/null
+++ b/tests/daemon/test_platform_link.py
@@ -0,0 +1,194 @@
+"""Edits of views, the watch and a balancer's own object, on a platform stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from returns.result import Success
+
+from balsamstream.config import Kind
+from balsamstream.core.identity import Address, ProcessRef
+from balsamstream.core.message import Changes, ConfigObject, EditView
+from balsamstream.core.view import Join, Member, SetState
+from balsamstream.core.view import MemberState as State
+from balsamstream.daemon.platform_link import (
+    PlatformLink,
+    Registration,
+    apply_edit,
+    read_balancers,
+)
+from balsamstream.kernel import Kernel
+from balsamstream.platform import StoredObject
+from tests.daemon.sockets import make_metrics, wait_until
+from tests.platform.bench import open_client, open_platform, set_faults
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from balsamstream.platform import PlatformClient
+
+SERVICE = "comptoir"
+MEMBER = Member(ProcessRef("host", 1), Address("127.0.0.1", 1), "medina", 2)
+REGISTRATION = Registration(
+    ProcessRef("balancer-1", 7), Address("127.0.0.1", 9), "medina"
+)
+
+
+@dataclass
+class Bench:
+    """A link with its platform and what it took."""
+
+    link: PlatformLink
+    client: PlatformClient
+    url: str
+    taken: list[Changes] = field(default_factory=list)
+
+    async def read_spec(self, kind: Kind, name: str) -> dict[str, Any] | None:
+        """Read an object's spec from the platform."""
+        found = await self.client.get(kind, name)
+        return found.unwrap().spec if isinstance(found, Success) else None
+
+
+@asynccontextmanager
+async def run_link() -> AsyncIterator[Bench]:
+    async with open_platform() as (_, url), open_client(url) as client:
+        taken: list[Changes] = []
+        kernel = Kernel()
+        link = PlatformLink(kernel, client, make_metrics(), taken.append)
+        await link.start()
+        try:
+            yield Bench(link, client, url, taken)
+        finally:
+            await link.close()
+        assert kernel.failure is None
+
+
+def test_an_edit_is_written_and_shown_at_once() -> None:
+    async def run() -> None:
+        async with run_link() as bench:
+            bench.link.edit(EditView(SERVICE, Join(MEMBER)))
+            bench.link.edit(EditView(SERVICE, Join(MEMBER)))
+            await wait_until(lambda: bool(bench.taken))
+            (found,) = bench.taken[0].objects
+            assert found.spec == await bench.read_spec(Kind.VIEW, SERVICE)
+            assert found.spec is not None
+            assert found.spec["number"] == 1
+            assert not bench.taken[0].full
+
+    asyncio.run(run())
+
+
+def test_a_lost_answer_leaves_one_edit() -> None:
+    async def run() -> None:
+        async with run_link() as bench:
+            await set_faults(bench.url, lose_answers=True)
+            bench.link.edit(EditView(SERVICE, Join(MEMBER)))
+            await wait_until(lambda: bool(bench.taken))
+            spec = await bench.read_spec(Kind.VIEW, SERVICE)
+            assert spec is not None
+            assert (spec["number"], len(spec["members"])) == (1, 1)
+
+    asyncio.run(run())
+
+
+def test_the_watch_shows_all_and_then_each_change() -> None:
+    async def run() -> None:
+        async with run_link() as bench:
+            await bench.client.create(Kind.DATA_CENTRE, "medina", {"state": "in"})
+            await bench.link.set_watching(True)
+            await bench.link.set_watching(True)
+            await wait_until(lambda: len(bench.taken) == 1)
+            assert bench.taken[0].full
+            await bench.client.create(Kind.DATA_CENTRE, "thyna", {"state": "out"})
+            await wait_until(lambda: len(bench.taken) == 2)
+            first, second = bench.taken
+            assert second.since == first.up_to
+            assert second.objects[0].name == "thyna"
+            gone = (await bench.client.get(Kind.DATA_CENTRE, "thyna")).unwrap()
+            await bench.client.remove(gone)
+            await wait_until(lambda: len(bench.taken) == 3)
+            assert bench.taken[2].objects[0].spec is None
+            await bench.link.set_watching(False)
+
+    asyncio.run(run())
+
+
+def test_an_agent_reads_what_concerns_its_service() -> None:
+    async def run() -> None:
+        async with run_link() as bench:
+            create = bench.client.create
+            spec = {"address": "127.0.0.1:1", "profile": "counter", "protocol": "coap"}
+            await create(Kind.PROFILE, "counter", {})
+            await create(Kind.PROFILE, "other", {})
+            await create(Kind.SERVICE, SERVICE, spec)
+            await create(Kind.SERVICE, "other", spec)
+            await create(Kind.DATA_CENTRE, "medina", {"state": "in"})
+            bench.link.fetch(SERVICE)
+            bench.link.fetch(SERVICE)
+            await wait_until(lambda: bool(bench.taken))
+            (changes,) = bench.taken
+            names = {(found.kind, found.name) for found in changes.objects}
+            assert names == {
+                ("Profile", "counter"),
+                ("Service", SERVICE),
+                ("DataCentre", "medina"),
+            }
+            assert not changes.full
+            assert changes.since == changes.up_to
+
+    asyncio.run(run())
+
+
+def test_a_balancer_is_announced_and_withdrawn() -> None:
+    async def run() -> None:
+        async with run_link() as bench:
+            bench.link.register(REGISTRATION)
+            bench.link.register(REGISTRATION)
+            await wait_until(lambda: bool(bench.taken))
+            assert read_balancers(bench.taken[0].objects)[0].ref == REGISTRATION.ref
+            await bench.link.deregister(REGISTRATION)
+            assert await bench.read_spec(Kind.BALANCER, "balancer-1") is None
+
+    asyncio.run(run())
+
+
+def test_a_later_run_of_the_balancer_is_not_withdrawn() -> None:
+    async def run() -> None:
+        async with run_link() as bench:
+            later = {**REGISTRATION.write_spec(), "incarnation": 8}
+            await bench.client.create(Kind.BALANCER, "balancer-1", later)
+            await bench.link.deregister(REGISTRATION)
+            assert await bench.read_spec(Kind.BALANCER, "balancer-1") == later
+
+    asyncio.run(run())
+
+
+def test_an_unreadable_view_is_left_as_it_is() -> None:
+    stored = StoredObject(Kind.VIEW, SERVICE, 3, "", {"number": "x"})
+    assert apply_edit(SERVICE, Join(MEMBER), stored, ()) is None
+
+
+def test_an_edit_that_changes_nothing_is_not_written() -> None:
+    spec = apply_edit(SERVICE, Join(MEMBER), None, ())
+    assert spec is not None
+    stored = StoredObject(Kind.VIEW, SERVICE, 3, "", spec)
+    assert apply_edit(SERVICE, Join(MEMBER), stored, ()) is None
+    other = SetState(ProcessRef("host", 2), State.DOWN)
+    assert apply_edit(SERVICE, other, stored, ()) is None
+
+
+def test_balancers_that_can_not_be_read_are_left_out() -> None:
+    specs: list[dict[str, Any] | None] = [
+        None,
+        {},
+        {"incarnation": "x", "address": "127.0.0.1:1", "data_centre": "medina"},
+        {"incarnation": 1, "address": "nowhere", "data_centre": "medina"},
+    ]
+    objects = [
+        ConfigObject("Balancer", f"b{number}", number, spec)
+        for number, spec in enumerate(specs)
+    ]
+    assert read_balancers(objects) == []
--- /dev/null
+++ b/tests/daemon/test_transport.py
@@ -0,0 +1,148 @@
+"""Messages between processes over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from balsamstream.core.identity import Address, ProcessRef
+from balsamstream.core.message import Changes, ConfigObject, Message, Ping
+from balsamstream.daemon.settings import Key
+from balsamstream.daemon.transport import Transport
+from tests.daemon.sockets import (
+    find_free_address,
+    ignore_batch,
+    make_metrics,
+    open_peer,
+    wait_until,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from balsamstream.daemon.metrics import Metrics
+
+OLD_KEY = Key(1, b"a" * 32)
+NEW_KEY = Key(2, b"b" * 32)
+
+
+@dataclass
+class Process:
+    """A transport and what it received."""
+
+    transport: Transport
+    metrics: Metrics
+    received: list[tuple[Address, Message]] = field(default_factory=list)
+
+
+@asynccontextmanager
+async def run_process(name: str, fail: bool = False) -> AsyncIterator[Process]:
+    metrics = make_metrics()
+    ref = ProcessRef(name, 1)
+    transport = Transport(ref, find_free_address(), [OLD_KEY], metrics)
+    process = Process(transport, metrics)
+
+    def take(sender: Address, message: Message) -> None:
+        process.received.append((sender, message))
+        if fail:
+            raise RuntimeError("broken handler")
+
+    transport.connect(take, ignore_batch)
+    await transport.start()
+    try:
+        yield process
+    finally:
+        await transport.close()
+
+
+def make_large_changes() -> Changes:
+    drawn = random.Random(1)
+    objects = tuple(
+        ConfigObject("View", f"view-{n}", n, {"text": drawn.randbytes(400).hex()})
+        for n in range(60)
+    )
+    return Changes(0, 60, True, False, objects)
+
+
+def test_messages_arrive_with_their_sender() -> None:
+    async def run() -> None:
+        async with run_process("one") as one, run_process("two") as two:
+            one.transport.send(two.transport.address, Ping(5))
+            await wait_until(lambda: bool(two.received))
+            assert two.received == [(one.transport.address, Ping(5))]
+
+    asyncio.run(run())
+
+
+def test_a_large_message_arrives_whole() -> None:
+    async def run() -> None:
+        async with run_process("one") as one, run_process("two") as two:
+            changes = make_large_changes()
+            one.transport.send(two.transport.address, changes)
+            await wait_until(lambda: bool(two.received))
+            assert two.received[0][1] == changes
+
+    asyncio.run(run())
+
+
+def test_keys_are_replaced_while_messages_flow() -> None:
+    async def run() -> None:
+        async with run_process("one") as one, run_process("two") as two:
+            address = two.transport.address
+            two.transport.replace_keys([OLD_KEY, NEW_KEY])
+            one.transport.send(address, Ping(1))
+            one.transport.replace_keys([NEW_KEY])
+            one.transport.send(address, Ping(2))
+            await wait_until(lambda: len(two.received) == 2)
+
+    asyncio.run(run())
+
+
+def test_hostile_datagrams_and_a_failing_handler_stop_nothing() -> None:
+    async def run() -> None:
+        async with run_process("one") as one, run_process("two", fail=True) as two:
+            drawn = random.Random(2)
+            address = two.transport.address
+            with open_peer() as hostile:
+                for size in (0, 1, 36, 37, 38, 200, 1500, 9000, 65_507):
+                    hostile.sendto(drawn.randbytes(size), address)
+                    one.transport.send(address, Ping(size))
+                    await wait_until(lambda: bool(two.received))
+                    two.received.clear()
+            counters = two.metrics.counters
+            assert counters["lost.seal_short"] == 3
+            refused = counters.get("lost.seal_unknown-key", 0)
+            refused += counters.get("lost.seal_forged", 0)
+            assert refused == 6
+            assert counters["lost.transport_handler"] == 9
+
+    asyncio.run(run())
+
+
+def test_what_can_not_be_sent_is_counted() -> None:
+    async def run() -> None:
+        async with run_process("one") as one:
+            one.transport.send(Address("no address", 1), Ping(1))
+            one.transport.send(Address("127.0.0.1", 0), Ping(1))
+            assert one.metrics.counters == {
+                "lost.encode": 1,
+                "lost.transport_send": 1,
+            }
+
+    asyncio.run(run())
+
+
+def test_queued_datagrams_are_dropped_on_demand() -> None:
+    async def run() -> None:
+        async with run_process("one") as one, run_process("two") as two:
+            for number in range(10):
+                one.transport.send(two.transport.address, Ping(number))
+            assert two.transport.discard() == 10
+            one.transport.send(two.transport.address, Ping(99))
+            await wait_until(lambda: bool(two.received))
+            assert [message for _, message in two.received] == [Ping(99)]
+
+    asyncio.run(run())
