--- a/src/balsamstream/daemon/balancer.py
+++ b/src/balsamstream/daemon/balancer.py
@@ -10,6 +10,7 @@
 from balsamstream.core.identity import Address
 from balsamstream.core.message import (
     Cancel,
+    Changes,
     CloseFlow,
     Count,
     Deliver,
@@ -134,7 +135,10 @@
         """Decide on a message."""
         # A host's own verdict is counted there.
         self._is_relaying = isinstance(message, Refusal)
-        return self._decisions.receive(sender, message, now)
+        actions = self._decisions.receive(sender, message, now)
+        if isinstance(message, Changes) and message.objects:
+            self._edge.forget_services()
+        return actions
 
     def decide_pause(self, gap_s: float, now: float) -> Sequence[Action]:
         """Decide after a pause of the process."""
--- a/src/balsamstream/daemon/edge.py
+++ b/src/balsamstream/daemon/edge.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import contextlib
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, Protocol
 
 from balsamstream.core.identity import Address
 from balsamstream.core.routing import compute_flow_key
 from balsamstream.edge.protocols import find_protocol
 from balsamstream.edge.proxy_header import (
+    HEADER_BYTES,
     ProxyHeaderError,
     encode_header,
     split_datagram,
@@ -24,11 +26,23 @@
     from balsamstream.core.identity import FlowKey
     from balsamstream.core.message import RefuseCaller, ReturnToCaller
     from balsamstream.edge.protocol import Classified
+    from balsamstream.edge.protocol import Protocol as EdgeProtocol
 
     from .metrics import Metrics
     from .settings import EdgeSettings
 
 MOST_FABRIC_ROUTES: Final = 65_536
+MOST_ROUTES: Final = 16_384
+
+
+@dataclass(frozen=True, slots=True)
+class _Route:
+    """What is known of a caller's datagrams from their PROXY header."""
+
+    entry: ServiceEntry
+    flow: FlowKey
+    caller: Address
+    protocol: EdgeProtocol
 
 
 class DatagramTaker(Protocol):
@@ -69,6 +83,8 @@
         self._socket = DatagramSocket("edge", self.listen, take, metrics)
         self._fabric: tuple[str, int] | None = None
         self._fabric_by_caller: dict[Address, tuple[str, int]] = {}
+        self._routes: dict[bytes, _Route] = {}
+        self._addresses: dict[int, Address] = {}
         self._taker: DatagramTaker | None = None
         self._before_batch: Callable[[], None] | None = None
 
@@ -99,13 +115,21 @@
         """Drop what is queued in the socket; return how many datagrams."""
         return self._socket.discard()
 
+    def forget_services(self) -> None:
+        """Read services anew from the catalogue: it has changed."""
+        self._routes.clear()
+        self._addresses.clear()
+
     def return_answer(self, action: ReturnToCaller) -> None:
         """Send an answer to its caller."""
-        entry = self._catalogue.find_service_by_number(action.service)
-        if entry is None:
-            self.metrics.count("lost.answer_without_service")
-            return
-        self._send(entry, action.caller, action.payload)
+        address = self._addresses.get(action.service)
+        if address is None:
+            entry = self._catalogue.find_service_by_number(action.service)
+            if entry is None:
+                self.metrics.count("lost.answer_without_service")
+                return
+            address = self._note_address(entry)
+        self._send(address, action.caller, action.payload)
 
     def refuse(self, action: RefuseCaller) -> None:
         """Send a refusal to its caller, where the protocol has one."""
@@ -118,9 +142,14 @@
         if refusal is None:
             self.metrics.count("lost.refusal_without_form")
             return
-        self._send(entry, action.caller, refusal)
+        self._send(Address(*entry.spec.address), action.caller, refusal)
+
+    def _note_address(self, entry: ServiceEntry) -> Address:
+        address = Address(*entry.spec.address)
+        self._addresses[entry.number] = address
+        return address
 
-    def _send(self, entry: ServiceEntry, caller: Address, payload: bytes) -> None:
+    def _send(self, service: Address, caller: Address, payload: bytes) -> None:
         if not self._settings.proxy_protocol:
             self._socket.send(payload, caller)
             return
@@ -128,35 +157,58 @@
         if fabric is None:
             self.metrics.count("lost.no_fabric")
             return
-        header = encode_header(Address(*entry.spec.address), caller)
+        header = encode_header(service, caller)
         self._socket.send(header + payload, fabric)
 
     def _take_relayed(self, datagram: bytes, source: tuple[str, int]) -> None:
-        try:
-            endpoints, payload = split_datagram(datagram)
-        except ProxyHeaderError:
-            self.metrics.count("lost.proxy_header")
-            return
+        header = datagram[:HEADER_BYTES]
+        route = self._routes.get(header)
+        if route is not None:
+            payload = datagram[HEADER_BYTES:]
+        else:
+            try:
+                endpoints, payload = split_datagram(datagram)
+            except ProxyHeaderError:
+                self.metrics.count("lost.proxy_header")
+                return
+            route = self._find_route(endpoints.destination, endpoints.source)
+            if route is None:
+                return
+            if len(datagram) - len(payload) == HEADER_BYTES:
+                self._note_route(header, route)
         if source != self._fabric or self._fabric_by_caller:
-            self._note_fabric(endpoints.source, source)
-        self._take(endpoints.destination, endpoints.source, payload)
+            self._note_fabric(route.caller, source)
+        self._take(route, payload)
 
     def _take_direct(self, datagram: bytes, source: tuple[str, int]) -> None:
-        self._take(self.listen, Address(*source), datagram)
+        route = self._find_route(self.listen, Address(*source))
+        if route is not None:
+            self._take(route, datagram)
+
+    def _take(self, route: _Route, payload: bytes) -> None:
+        classified = route.protocol.classify(
+            route.flow, payload, route.entry.profile.requests
+        )
+        if classified is None:
+            self.metrics.count("lost.malformed")
+            return
+        if self._taker is not None:
+            self._taker.take_datagram(
+                route.entry, route.flow, route.caller, classified, payload
+            )
 
-    def _take(self, service: Address, caller: Address, payload: bytes) -> None:
+    def _find_route(self, service: Address, caller: Address) -> _Route | None:
         entry = self._catalogue.find_service_by_address(service)
         if entry is None:
             self.metrics.count("lost.unknown_service")
-            return
+            return None
         flow = compute_flow_key(entry.spec.name, caller)
-        protocol = find_protocol(entry.spec.protocol)
-        classified = protocol.classify(flow, payload, entry.profile.requests)
-        if classified is None:
-            self.metrics.count("lost.malformed")
-            return
-        if self._taker is not None:
-            self._taker.take_datagram(entry, flow, caller, classified, payload)
+        return _Route(entry, flow, caller, find_protocol(entry.spec.protocol))
+
+    def _note_route(self, header: bytes, route: _Route) -> None:
+        if len(self._routes) >= MOST_ROUTES:
+            self._routes.clear()
+        self._routes[header] = route
 
     def _note_fabric(self, caller: Address, source: tuple[str, int]) -> None:
         """Remember who relays for a caller, where there is more than one relay."""
--- a/src/balsamstream/daemon/transport.py
+++ b/src/balsamstream/daemon/transport.py
@@ -29,7 +29,7 @@
     from .metrics import Metrics
     from .settings import Key as KeySettings
 
-MOST_SOURCES_CACHED: Final = 65_536
+MOST_SOURCES_CACHED: Final = 4_096
 _FRAGMENT_START: Final = bytes((FRAGMENT_TYPE,))
 _PACKET_PATH: Final = (PACKET_TYPE, ANSWER_TYPE, REFUSAL_TYPE)
 
--- a/src/balsamstream/edge/coap.py
+++ b/src/balsamstream/edge/coap.py
@@ -14,7 +14,14 @@
 
 from .coap_matcher import CoapMatcher
 from .coap_message import (
+    ANSWERING_TYPE_BIT,
+    EMPTY_CODE,
     FIXED_BYTES,
+    LAST_METHOD_CODE,
+    MOST_TOKEN_BYTES,
+    TOKEN_BITS,
+    VERSION_BITS,
+    VERSION_ONE,
     MessageType,
     OptionError,
     build_message,
@@ -58,13 +65,22 @@
         A retransmission is the same bytes again, so the key is a hash of flow and
         datagram.
         """
-        head = parse_head(datagram)
-        if head is None:
+        size = len(datagram)
+        if size < FIXED_BYTES:
+            return None
+        first = datagram[0]
+        token_bytes = first & TOKEN_BITS
+        if first & VERSION_BITS != VERSION_ONE or token_bytes > MOST_TOKEN_BYTES:
+            return None
+        if size < FIXED_BYTES + token_bytes:
             return None
-        if not head.is_request:
-            return _NO_REQUEST
+        code = datagram[1]
+        if code > LAST_METHOD_CODE or first & ANSWERING_TYPE_BIT:
+            return _NO_REQUEST if code or size == FIXED_BYTES else None
+        if code == EMPTY_CODE:
+            return _NO_REQUEST if size == FIXED_BYTES else None
         key = xxhash.xxh3_64_intdigest(datagram, flow) or 1
-        return Classified(_judge_method(head.code, requests), RequestKey(key))
+        return Classified(_judge_method(code, requests), RequestKey(key))
 
     def build_refusal(self, head: bytes, verdict: NotRun | MayHaveRun) -> bytes | None:
         """Build 5.03 with Max-Age for a request that did not run, 5.04 for others."""
@@ -111,15 +127,14 @@
 
 
 def _judge_method(code: int, requests: Requests) -> RequestKind:
-    match requests:
-        case Requests.REPEATABLE:
+    # By identity: an enumeration's hash is slow.
+    if requests is Requests.BY_METHOD:
+        if code in REPEATABLE_METHODS:
             return RequestKind.REPEATABLE
-        case Requests.NON_REPEATABLE:
-            return RequestKind.NON_REPEATABLE
-        case Requests.BY_METHOD:
-            if code in REPEATABLE_METHODS:
-                return RequestKind.REPEATABLE
-            return RequestKind.NON_REPEATABLE
+        return RequestKind.NON_REPEATABLE
+    if requests is Requests.REPEATABLE:
+        return RequestKind.REPEATABLE
+    return RequestKind.NON_REPEATABLE
 
 
 def _build_max_age(retry_after_s: float) -> bytes:
--- a/src/balsamstream/edge/coap_message.py
+++ b/src/balsamstream/edge/coap_message.py
@@ -18,7 +18,12 @@
 FIRST_RESPONSE_CODE: Final = 64
 OBSERVE_OPTION: Final = 6
 
-_VERSION: Final = 1
+VERSION_BITS: Final = 0xC0
+VERSION_ONE: Final = 0x40
+TOKEN_BITS: Final = 0x0F
+ANSWERING_TYPE_BIT: Final = 0x20
+"""Set in the first byte of acknowledgements and resets."""
+
 _FIXED: Final = struct.Struct("!BBH")
 _ONE_BYTE_MORE: Final = 13
 _TWO_BYTES_MORE: Final = 14
@@ -96,9 +101,9 @@
     if len(datagram) < FIXED_BYTES:
         return None
     first, code, message_id = _FIXED.unpack_from(datagram)
-    token_bytes = first & 0x0F
+    token_bytes = first & TOKEN_BITS
     end = FIXED_BYTES + token_bytes
-    if first >> 6 != _VERSION or token_bytes > MOST_TOKEN_BYTES:
+    if first & VERSION_BITS != VERSION_ONE or token_bytes > MOST_TOKEN_BYTES:
         return None
     if len(datagram) < end or (code == EMPTY_CODE and len(datagram) > FIXED_BYTES):
         return None
@@ -110,7 +115,7 @@
     kind: MessageType, code: int, message_id: int, token: bytes = b""
 ) -> bytes:
     """Build a message without options and payload."""
-    first = _VERSION << 6 | kind << 4 | len(token)
+    first = VERSION_ONE | kind << 4 | len(token)
     return _FIXED.pack(first, code, message_id) + token
 
 
@@ -167,9 +172,15 @@
 
 
 __all__ = [
+    "ANSWERING_TYPE_BIT",
+    "EMPTY_CODE",
     "FIXED_BYTES",
+    "LAST_METHOD_CODE",
     "MOST_TOKEN_BYTES",
     "OBSERVE_OPTION",
+    "TOKEN_BITS",
+    "VERSION_BITS",
+    "VERSION_ONE",
     "Head",
     "MessageType",
     "Option",
--- a/src/balsamstream/edge/protocol.py
+++ b/src/balsamstream/edge/protocol.py
@@ -13,7 +13,7 @@
     from balsamstream.core.verdict import MayHaveRun, NotRun
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Classified:
     """What a caller's datagram holds.
 
--- a/src/balsamstream/edge/proxy_header.py
+++ b/src/balsamstream/edge/proxy_header.py
@@ -16,7 +16,7 @@
 _LENGTH: Final = struct.Struct("!H")
 _ADDRESSES_OFFSET: Final = len(_START) + _LENGTH.size
 HEADER_BYTES: Final = _ADDRESSES_OFFSET + _ADDRESSES.size
-MOST_CACHED: Final = 65_536
+MOST_CACHED: Final = 4_096
 
 
 class ProxyHeaderError(ValueError):
