--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful search for faults in the decisions."""
--- /dev/null
+++ b/tests/fuzz/oracle.py
@@ -0,0 +1,79 @@
+"""What must always hold, judged from runs, answers and versions alone."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from balsamstream.core.agent import AgentDecisions
+from balsamstream.core.message import RequestKind
+from balsamstream.core.verdict import NotRun
+
+if TYPE_CHECKING:
+    from .world import Request, World
+
+
+def check_requests(world: World, requests: list[Request]) -> None:
+    """Orders run once; not run means not run; answers reach their own caller."""
+    by_payload = {request.payload: request for request in requests}
+    runs = Counter(run.payload for run in world.runs)
+    for told in world.told:
+        payload = told.payload.removeprefix(b"answer ")
+        request = by_payload[payload]
+        assert request.caller == told.caller, "an answer reached another caller"
+        if isinstance(told.verdict, NotRun):
+            assert runs[payload] == 0, f"{request} ran and was told not run"
+        if told.verdict is None:
+            assert runs[payload] > 0, f"{request} was answered and never ran"
+    for request in requests:
+        if request.kind is RequestKind.NON_REPEATABLE:
+            assert runs[request.payload] <= 1, f"{request} ran twice"
+
+
+def check_services(world: World, requests: list[Request]) -> None:
+    """Each packet runs on a host of its own service."""
+    services = {request.payload: request.service for request in requests}
+    for run in world.runs:
+        assert run.service == services[run.payload], f"{run} is of another service"
+
+
+def check_host(agent: AgentDecisions, in_hand: int, most_limit: int) -> None:
+    """A host is given nothing while out, and never more than it bears.
+
+    Parameters
+    ----------
+    in_hand : int
+        Requests that the backend server has, with the one given now.
+    most_limit : int
+        Highest limit in force since the request was admitted.
+    """
+    name = agent.state.config.ref
+    assert not agent.state.is_out, f"{name} is out and was given work"
+    assert in_hand <= most_limit, f"{name} has {in_hand} of {most_limit}"
+
+
+class VersionRecord:
+    """The versions that each run of each process accepted."""
+
+    def __init__(self) -> None:
+        self._highest: dict[tuple[object, str], int] = {}
+
+    def check(self, world: World) -> None:
+        """No accepted version falls."""
+        for process in world.processes.values():
+            if isinstance(process, AgentDecisions):
+                ref, catalogue = process.state.config.ref, process.state.catalogue
+            else:
+                ref, catalogue = process.config.ref, process.catalogue
+            found = {"complete": catalogue.complete_to}
+            found |= {
+                f"{known.kind} {known.name}": known.version
+                for known in catalogue._objects.values()
+            }
+            for name, version in found.items():
+                key = (ref, name)
+                assert version >= self._highest.get(key, 0), f"{key} fell"
+                self._highest[key] = version
+
+
+__all__ = ["VersionRecord", "check_host", "check_requests", "check_services"]
--- /dev/null
+++ b/tests/fuzz/world.py
@@ -0,0 +1,256 @@
+"""The fake network with pauses, lost platform answers and slow backend servers."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from dataclasses import dataclass
+from typing import Any, Final
+
+from balsamstream.core.agent import AgentConfig, AgentDecisions
+from balsamstream.core.identity import NO_REQUEST, Address, FlowKey, ProcessRef
+from balsamstream.core.message import (
+    Action,
+    Cancel,
+    CloseFlow,
+    Deliver,
+    EditView,
+    RequestKey,
+    RequestKind,
+)
+from balsamstream.core.routing import compute_flow_key
+from balsamstream.core.single_run import CLAIM_GIVE_UP_S
+from tests.core.network import Envelope, Network
+from tests.fuzz.oracle import check_host
+
+SERVICES: Final = ("comptoir", "etiquettes")
+DATA_CENTRES: Final = ("medina", "sakiet", "thyna")
+BALANCERS: Final = ("balancer-1", "balancer-2", "balancer-3")
+HOSTS: Final = 4
+PROFILE: Final[dict[str, Any]] = {
+    "in_flight_per_slot": 2,
+    "flows_per_slot": 4,
+    "cold_start": {"initial_share": 0.5, "ramp_s": 2},
+    "drain_s": 20,
+}
+
+
+@dataclass(frozen=True)
+class Request:
+    """One request of a caller and its copies."""
+
+    service: str
+    caller: Address
+    key: RequestKey
+    kind: RequestKind
+
+    @property
+    def payload(self) -> bytes:
+        """Bytes that name the request, shorter than a refusal's head."""
+        return f"{self.service}/{self.caller.port}/{self.key}".encode()
+
+
+class World(Network):
+    """Two services in three data centres whose backend servers answer when told."""
+
+    def __init__(self, seed: int, hosts: int = HOSTS) -> None:
+        super().__init__(seed)
+        self.auto_answer = False
+        self.queued: dict[Address, list[Envelope]] = {}
+        self.asleep_since: dict[Address, float] = {}
+        self.pending: dict[ProcessRef, set[tuple[FlowKey, RequestKey]]] = {}
+        self.limits: dict[ProcessRef, deque[tuple[float, int]]] = {}
+        self.edits: list[EditView] = []
+        self.cuts: set[tuple[Address, Address]] = set()
+        self.is_cut = lambda sender, to: (sender, to) in self.cuts
+        for number, service in enumerate(SERVICES):
+            self.declare(service, 5683 + number, PROFILE)
+        for name, data_centre in zip(BALANCERS, DATA_CENTRES):
+            self.add_balancer(name, data_centre)
+        for service in SERVICES:
+            for number in range(hosts):
+                self.add_host(f"{service}-{number}", service)
+        self.pass_time(6.0)
+
+    def add_host(self, name: str, service: str) -> None:
+        """Start a host's agent; hosts are spread over the data centres."""
+        place = DATA_CENTRES[int(name.rpartition("-")[2]) % len(DATA_CENTRES)]
+        self.add_agent(name, service, place)
+
+    def reuse_address(self, old: str, name: str, service: str) -> None:
+        """Start a host of another service at a killed host's address."""
+        address = self.agents.pop(old).state.config.address
+        self._incarnation += 1
+        balancers = tuple(known.config.address for known in self.balancers.values())
+        ref = ProcessRef(name, self._incarnation)
+        config = AgentConfig(ref, address, service, DATA_CENTRES[0], 2, balancers)
+        agent = AgentDecisions(config, random.Random(self._incarnation))
+        self.agents[name] = agent
+        self.processes[address] = agent
+
+    def restart_balancer(self, name: str) -> None:
+        """Start a balancer again that knows nothing."""
+        old = self.balancers[name]
+        address = old.config.address
+        count = len(self.balancers)
+        fresh = self.add_balancer(name, old.config.data_centre)
+        self.processes.pop(fresh.config.address)
+        assert len(self.balancers) == count
+        peers = tuple(
+            known.config.address
+            for known in self.balancers.values()
+            if known is not fresh
+        )
+        fresh.config = type(fresh.config)(
+            fresh.config.ref, address, old.config.data_centre, peers=peers
+        )
+        fresh.distribution._config = fresh.config
+        fresh.distribution._follower._fixed = peers
+        self.processes[address] = fresh
+
+    def send(self, request: Request, balancer: str) -> None:
+        """Have one copy of a request enter at a balancer, if that one runs."""
+        decisions = self.balancers[balancer]
+        address = decisions.config.address
+        if self.processes.get(address) is not decisions or address in self.frozen:
+            return
+        if decisions.catalogue.find_service(request.service) is None:
+            return
+        self.send_request(
+            balancer,
+            request.service,
+            request.caller,
+            request.key,
+            request.kind,
+            request.payload,
+        )
+
+    def freeze(self, address: Address) -> None:
+        """Stop a process; what is sent to it waits."""
+        if address in self.processes and address not in self.frozen:
+            self.frozen.add(address)
+            self.asleep_since[address] = self.now
+
+    def wake(self, address: Address) -> None:
+        """Let a stopped process go on with what waited for it, in any order."""
+        self.frozen.discard(address)
+        waited = self.queued.pop(address, [])
+        process = self.processes.get(address)
+        if process is None:
+            return
+        gap = self.now - self.asleep_since[address]
+        if self.random.random() < 0.5:
+            self.carry_out(address, process.notice_pause(gap, self.now))
+        self.random.shuffle(waited)
+        for envelope in waited:
+            self.deliver(envelope)
+
+    def deliver(self, envelope: Envelope) -> None:
+        """Give a message to its receiver, or keep it while that one is stopped."""
+        if envelope.to in self.frozen and envelope.to in self.processes:
+            self.queued.setdefault(envelope.to, []).append(envelope)
+            return
+        super().deliver(envelope)
+
+    def scatter(self, losses: float, doubles: float) -> None:
+        """Deliver half of what is on its way, in any order; lose and double some."""
+        self.random.shuffle(self.bag)
+        part = len(self.bag) // 2 + 1
+        taken, self.bag = self.bag[:part], self.bag[part:]
+        for envelope in taken:
+            if self.random.random() < losses:
+                continue
+            if self.random.random() < doubles:
+                self.bag.append(envelope)
+            self.deliver(envelope)
+
+    def carry_out(self, source: Address, actions: list[Action]) -> None:
+        """Do what a process decided, and note what its backend server has in hand."""
+        super().carry_out(source, actions)
+        for action in actions:
+            match action:
+                case EditView():
+                    self.edits.append(action)
+                case Cancel(flow, request):
+                    self._find_pending(source).discard((flow, request))
+                case CloseFlow(flow):
+                    pending = self._find_pending(source)
+                    pending -= {known for known in pending if known[0] == flow}
+                case _:
+                    continue
+
+    def answer_one(self, host: str) -> None:
+        """Let a backend server answer one of its requests."""
+        agent = self.agents[host]
+        address = agent.state.config.address
+        pending = self._find_pending(address)
+        if not pending or address in self.frozen or address not in self.processes:
+            return
+        flow, request = self.random.choice(sorted(pending))
+        pending.discard((flow, request))
+        payload = next(
+            run.payload
+            for run in reversed(self.runs)
+            if run.request == request and run.flow == flow
+        )
+        answer = b"answer " + payload
+        actions = agent.take_answer(flow, request, answer, self.now)
+        self.carry_out(address, actions)
+
+    def refuse_port(self, host: str) -> None:
+        """Restart a backend server; the agent sees its port refuse."""
+        agent = self.agents[host]
+        address = agent.state.config.address
+        if address in self.frozen or address not in self.processes:
+            return
+        self._find_pending(address).clear()
+        flows = list(agent.state.flows)
+        flow = flows[0] if flows else compute_flow_key("none", address)
+        self.carry_out(address, agent.notice_backend_refused(flow, self.now))
+
+    def forget_pending(self, host: str) -> None:
+        """Restart a backend server without a sign."""
+        self._find_pending(self.agents[host].state.config.address).clear()
+
+    def repeat_edit(self) -> None:
+        """Apply an earlier edit again: its writer never saw the first answer."""
+        if self.edits and not self.platform.is_down:
+            self.platform.edit(self.random.choice(self.edits[-5:]))
+
+    def _find_pending(self, address: Address) -> set[tuple[FlowKey, RequestKey]]:
+        process = self.processes.get(address)
+        if not isinstance(process, AgentDecisions):
+            return set()
+        return self.pending.setdefault(process.state.config.ref, set())
+
+    def _deliver(self, source: Address, action: Deliver) -> None:
+        super()._deliver(source, action)
+        if action.request == NO_REQUEST:
+            return
+        agent = self.processes[source]
+        assert isinstance(agent, AgentDecisions)
+        pending = self._find_pending(source)
+        pending.add((action.flow, action.request))
+        check_host(agent, len(pending), self._find_limit(agent))
+
+    def _find_limit(self, agent: AgentDecisions) -> int:
+        """Return the highest limit since the oldest claim began that may win now."""
+        admission = agent.state.admission
+        assert admission is not None
+        now = admission.limits.in_flight
+        recent = self.limits.get(agent.state.config.ref, ())
+        return max([now, *(limit for _, limit in recent)])
+
+    def step(self) -> None:
+        """Let one tick pass everywhere, with all its messages."""
+        super().step()
+        for agent in self.agents.values():
+            if agent.state.admission is None:
+                continue
+            recent = self.limits.setdefault(agent.state.config.ref, deque())
+            recent.append((self.now, agent.state.admission.limits.in_flight))
+            while recent[0][0] < self.now - CLAIM_GIVE_UP_S:
+                recent.popleft()
+
+
+__all__ = ["BALANCERS", "DATA_CENTRES", "HOSTS", "SERVICES", "Request", "World"]
