--- a/src/balsamstream/core/agent.py
+++ b/src/balsamstream/core/agent.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from ..config.objects import WorkClass
@@ -33,10 +34,14 @@
     SealAsk,
     SealReply,
     Send,
+    TakeoverAsk,
+    TakeoverPart,
 )
+from .neighbours import Neighbours
 from .ownership import Ownership, Place
 from .single_run import SingleRun
 from .state import AgentConfig, AgentState
+from .takeover import Retirement, Succession
 from .verdict import MayHaveRun
 
 if TYPE_CHECKING:
@@ -74,16 +79,20 @@
         self.ownership = Ownership(self.state)
         self.single_run = SingleRun(self.state)
         self.membership = Membership(self.state)
+        self.neighbours = Neighbours(self.state)
+        self.succession = Succession(self.state)
+        self.retirement = Retirement(self.state)
         self.voter = VoterRole(config.service, config.ref)
         self.follower = Follower(self.state.catalogue, config.peers, random)
         self._waiting: dict[tuple[FlowKey, RequestKey], Packet] = {}
         self._next_load_report = 0.0
         self._backend_down_until = 0.0
+        self._is_replaced = False
 
     @property
     def drained(self) -> bool:
         """Whether the host has finished its work and left the view."""
-        return self.membership.drained
+        return self.membership.drained or self._is_replaced
 
     def receive(self, sender: Address, message: Message, now: float) -> list[Action]:
         """Take a message of another process."""
@@ -112,6 +121,10 @@
             case LoadReport():
                 self.state.loads.take(message, now)
                 return []
+            case TakeoverAsk():
+                return self.retirement.answer(sender, message, self._list_busy(), now)
+            case TakeoverPart():
+                return self.succession.take_part(message, now)
             case Ping():
                 self.follower.note_source(sender, now)
                 return [Send(sender, Pong(message.number, self.state.config.ref))]
@@ -123,7 +136,12 @@
                 return [Count("unexpected_message")]
 
     def take_answer(
-        self, flow: FlowKey, request: RequestKey, payload: bytes, now: float
+        self,
+        flow: FlowKey,
+        request: RequestKey,
+        payload: bytes,
+        now: float,
+        is_refusal: bool = False,
     ) -> list[Action]:
         """Send a datagram of the backend server to its flow's caller.
 
@@ -131,6 +149,8 @@
         ----------
         request : RequestKey
             The request that the datagram answers, or ``NO_REQUEST``.
+        is_refusal : bool
+            The backend server refused the request because it is loaded.
         """
         held = self.state.flows.keep(flow, now)
         if held is None:
@@ -143,6 +163,8 @@
             if packet is not None:
                 via = packet.via
             self._finish(flow, request, payload, now)
+            if is_refusal and self.state.admission is not None:
+                self.state.admission.count_refusal()
         else:
             via = self._choose_return(via)
         state = self.state
@@ -159,6 +181,7 @@
 
     def notice_pause(self, gap_s: float, now: float) -> list[Action]:
         """Handle a pause of this process: what others decided meanwhile is unknown."""
+        self.state.loads.excuse(now)
         return self.ownership.start_sync(now)
 
     def drain(self, now: float) -> list[Action]:
@@ -175,7 +198,10 @@
         """Do what is due by time."""
         state = self.state
         actions: list[Action] = list(self.follower.tick(now))
+        actions += self.succession.tick(now)
         actions += self.membership.tick(now)
+        self._is_replaced = self.retirement.is_done(now) and not self.voter.is_needed
+        actions += self.neighbours.tick(now)
         actions += self.single_run.tick(now)
         placements, asked = self.ownership.tick(now)
         actions += self._carry_out(placements, now) + asked
@@ -204,6 +230,13 @@
             actions += self.follower.ask_at_once(sender, now)
         if packet.flow in state.flows and not state.is_out:
             return actions + self._run(packet, now)
+        if self.retirement.successor is not None and packet.hops < MOST_HOPS:
+            return actions + self.retirement.pass_on(packet)
+        predecessor = self.succession.predecessor
+        first_hop = sender != predecessor and packet.hops < MOST_HOPS
+        if predecessor is not None and first_hop:
+            passed = replace(packet, hops=packet.hops + 1)
+            return [*actions, Send(predecessor, passed)]
         if packet.hops >= MOST_HOPS:
             return actions + self._refuse(packet, "too many hops", now)
         return actions + self._carry_out(self.ownership.place(packet, now), now)
@@ -247,6 +280,12 @@
         state.admission.start_request(packet.flow, packet.request, now)
         return [self._deliver(packet)]
 
+    def _list_busy(self) -> set[FlowKey]:
+        admission = self.state.admission
+        if admission is None:
+            return set()
+        return {flow for flow, _ in admission.list_requests()}
+
     def _deliver(self, packet: Packet) -> Deliver:
         return Deliver(
             packet.flow,
@@ -372,9 +411,16 @@
         if not taken:
             return actions
         self._take_profile(now)
+        was_out = state.is_out
         if not state.update_routing():
             return actions
+        if was_out and not state.is_out and state.admission is not None:
+            # All hosts of a returning data centre begin at once, and none is warm.
+            state.admission.restart()
         view = state.routing.view
+        others = {member.ref.name for member in state.routing.reachable}
+        state.loads.expect(others - {state.config.ref.name}, now)
+        self.succession.find_predecessor(now)
         self.voter.adopt(view, now)
         actions += self.single_run.adopt_view(now)
         actions += self.ownership.start_sync(now)
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import random
 import secrets
 import time
@@ -15,42 +14,36 @@
 from pathlib import Path  # noqa: TC003 - read by cyclopts when the program runs
 from typing import TYPE_CHECKING, Annotated, Any, Final
 
-from aiocoap import Message
 from aiocoap.numbers import codes
 from aiocoap.numbers.types import Type
 from aiohttp import web
 from cyclopts import App, Parameter
 
 from .addresses import LOOPBACK, Address, format_address, parse_address
+from .answers import (
+    Place,
+    build_content,
+    find_service,
+    identify_request,
+)
 from .capacity import Capacity, Limits
 from .coap import (
-    MessageIds,
     build_answer,
     build_empty,
     decode_message,
     read_deadline_ms,
-    read_query,
-)
-from .content import (
-    BLOCK_SIZE_EXPONENT,
-    SERVICE_OF_PATH,
-    build_document,
-    choose_size,
-    compute_price,
 )
 from .events import (
     ColdWork,
     Expired,
     Misdirected,
-    ObservationEnded,
-    ObservationStarted,
     Overloaded,
     PacketsReceived,
     RecordFile,
     Run,
     Started,
 )
-from .observers import GROUP_INTERVAL_S, MOST_UNCONFIRMED, Observer, Observers
+from .notifier import Notifier
 from .serving import (
     drain_socket,
     open_datagram_socket,
@@ -63,16 +56,15 @@
 if TYPE_CHECKING:
     import socket
 
-    from aiocoap.options import Options
+    from aiocoap import Message
 
-JSON_FORMAT: Final = 50
+
+BOARD_PATH: Final = "stock"
 REMEMBERED_REQUESTS: Final = 20_000
 EXPIRED_MAX_AGE_S: Final = 1
 PACKETS_INTERVAL_S: Final = 0.25
 STOP_GRACE_S: Final = 2.0
 STOP_POLL_S: Final = 0.02
-REGISTER: Final = 0
-DEREGISTER: Final = 1
 
 app = App(name="backend_server", help=__doc__)
 
@@ -150,8 +142,8 @@
         self._random = random.Random(seed)
         self._capacity = Capacity(limits, time.monotonic())
         self._incarnation = secrets.token_hex(4)
-        self._ids = MessageIds(secrets.randbelow(1 << 16))
-        self._observers = Observers()
+        place = Place(host, self._incarnation)
+        self._notifier = Notifier(self._send, record, place)
         self._answers: OrderedDict[tuple[Address, int], bytes | None] = OrderedDict()
         self._waiting: deque[Work] = deque()
         self._working = 0
@@ -174,7 +166,7 @@
         self._socket = open_datagram_socket(address)
         loop.add_reader(self._socket, drain_socket, self._socket, self._take_datagram)
         self._tasks = [
-            loop.create_task(self._notify_observers()),
+            loop.create_task(self._notifier.run()),
             loop.create_task(self._record_packets()),
         ]
         self._record_start(announced=True)
@@ -207,13 +199,17 @@
         now = time.monotonic()
         bearable = self._capacity.compute_bearable(now)
         load = self._capacity.in_flight / bearable
-        health = Health(now, not self._fallen, load, len(self._observers))
+        health = Health(now, not self._fallen, load, len(self._notifier))
         self._history.append(health)
         if self.faults.lie:
             return Health(now, True, 0.0, 0)
         aged = [h for h in self._history if h.time <= now - self.faults.health_lag_s]
         return aged[-1] if aged else self._history[0]
 
+    @property
+    def _place(self) -> Place:
+        return Place(self._host, self._incarnation)
+
     def _record_start(self, announced: bool) -> None:
         now = time.time()
         cold_until = now + self._capacity.limits.cold_s
@@ -229,13 +225,12 @@
         )
 
     def _forget(self, reason: str) -> None:
-        for observer in self._observers:
-            self._record_observation_end(observer, reason)
-        self._observers.clear()
+        self._notifier.forget(reason)
         self._answers.clear()
         self._waiting.clear()
         self._working = 0
         self._incarnation = secrets.token_hex(4)
+        self._notifier.place = self._place
         self._capacity.start_cold(time.monotonic())
 
     def _take_datagram(self, datagram: bytes, endpoint: Address) -> None:
@@ -252,16 +247,7 @@
         if message.mtype == Type.CON:
             self._send(build_empty(Type.RST, message.mid), endpoint)
             return
-        self._take_confirmation(message, endpoint)
-
-    def _take_confirmation(self, message: Message, endpoint: Address) -> None:
-        observer = self._observers.find_notified(endpoint, message.mid)
-        if observer is None:
-            return
-        if message.mtype == Type.ACK:
-            observer.unconfirmed = 0
-            return
-        self._end_observation(observer, "reset")
+        self._notifier.take_confirmation(message, endpoint)
 
     def _take_request(self, message: Message, endpoint: Address) -> None:
         key = (endpoint, message.mid)
@@ -273,8 +259,8 @@
         self._answers[key] = None
         if len(self._answers) > REMEMBERED_REQUESTS:
             self._answers.popitem(last=False)
-        path = message.opt.uri_path[0] if message.opt.uri_path else ""
-        if SERVICE_OF_PATH.get(path) not in self._services:
+        if find_service(message) not in self._services:
+            path = "/".join(message.opt.uri_path)
             self._record.append(Misdirected(time.time(), self._host, path))
             self._answer(message, endpoint, build_answer(message, codes.NOT_FOUND))
             return
@@ -343,7 +329,7 @@
                 time=time.time(),
                 host=self._host,
                 incarnation=self._incarnation,
-                service=SERVICE_OF_PATH[work.message.opt.uri_path[0]],
+                service=str(find_service(work.message)),
                 method=work.message.code.name,
                 request=request,
                 attempt=attempt,
@@ -362,65 +348,11 @@
 
     def _build_content(self, work: Work) -> Message:
         message = work.message
-        query = read_query(message.opt)
-        match (message.code, *message.opt.uri_path):
-            case (codes.GET, "stock"):
-                return self._answer_board(work, query)
-            case (codes.POST, "basket"):
-                return self._answer_order(message)
-            case (codes.GET, "sheet" | "guide" as path, identifier):
-                return build_block(message, build_document(path, identifier))
-            case (codes.GET, "fit"):
-                size = choose_size(int(query["height"]), int(query["inseam"]))
-                return self._build_json(message, id=query.get("id"), size=size)
-            case (codes.GET, "chart"):
-                return self._build_json(message, id=query.get("id"), chart="40-180 cm")
-            case _:
-                return build_answer(message, codes.METHOD_NOT_ALLOWED)
-
-    def _answer_board(self, work: Work, query: dict[str, str]) -> Message:
-        message, endpoint = work.message, work.endpoint
-        board = query.get("board", "")
-        answer = self._build_json(message, board=board)
-        known = self._observers.find(endpoint, message.token)
-        match message.opt.observe:
-            case 0:
-                observer = known or Observer(endpoint, message.token, board)
-                observer.advance()
-                answer.opt.observe = observer.sequence
-                if known is None:
-                    self._add_observer(observer)
-            case 1 if known is not None:
-                self._end_observation(known, "deregistered")
-        return answer
-
-    def _answer_order(self, message: Message) -> Message:
-        try:
-            order = json.loads(message.payload)
-            identifier, attempt = order["id"], order.get("attempt", 1)
-        except (ValueError, KeyError, TypeError):
-            return build_answer(message, codes.BAD_REQUEST)
-        answer = self._build_json(
-            message, id=identifier, attempt=attempt, price=compute_price(identifier)
-        )
-        answer.code = codes.CHANGED
-        return answer
-
-    def _build_json(self, request: Message, **fields: str | int | None) -> Message:
-        service = SERVICE_OF_PATH[request.opt.uri_path[0]]
-        payload = self._describe(service, **fields)
-        answer = build_answer(request, codes.CONTENT, payload)
-        answer.opt.content_format = JSON_FORMAT
+        answer = build_content(message, self._place)
+        if message.opt.uri_path[0] == BOARD_PATH and message.code == codes.GET:
+            self._notifier.change_observation(message, work.endpoint, answer)
         return answer
 
-    def _describe(self, service: str, **fields: str | int | None) -> bytes:
-        common = {
-            "service": service,
-            "host": self._host,
-            "incarnation": self._incarnation,
-        }
-        return json.dumps({**common, **fields}).encode()
-
     def _answer(self, request: Message, endpoint: Address, answer: Message) -> None:
         encoded = answer.encode()
         self._answers[endpoint, request.mid] = encoded
@@ -430,64 +362,6 @@
         if self._socket is not None:
             send_datagram(self._socket, datagram, endpoint)
 
-    def _add_observer(self, observer: Observer) -> None:
-        self._observers.add(observer)
-        self._record.append(
-            ObservationStarted(
-                time.time(),
-                self._host,
-                self._incarnation,
-                observer.board,
-                format_address(observer.endpoint),
-            )
-        )
-
-    def _end_observation(self, observer: Observer, reason: str) -> None:
-        self._observers.remove(observer)
-        self._record_observation_end(observer, reason)
-
-    def _record_observation_end(self, observer: Observer, reason: str) -> None:
-        self._record.append(
-            ObservationEnded(
-                time.time(),
-                self._host,
-                self._incarnation,
-                observer.board,
-                format_address(observer.endpoint),
-                reason,
-            )
-        )
-
-    async def _notify_observers(self) -> None:
-        number = 0
-        due_at = time.monotonic()
-        while True:
-            due_at += GROUP_INTERVAL_S
-            await asyncio.sleep(max(0.0, due_at - time.monotonic()))
-            number += 1
-            for observer in self._observers.list_group(number):
-                self._notify(observer)
-
-    def _notify(self, observer: Observer) -> None:
-        confirm = observer.advance()
-        if confirm:
-            observer.unconfirmed += 1
-        if observer.unconfirmed > MOST_UNCONFIRMED:
-            self._end_observation(observer, "unconfirmed")
-            return
-        message_id = self._ids.draw()
-        observer.message_ids.append(message_id)
-        notification = Message(
-            code=codes.CONTENT,
-            payload=self._describe("comptoir", board=observer.board),
-            _mtype=Type.CON if confirm else Type.NON,
-            _mid=message_id,
-            _token=observer.token,
-        )
-        notification.opt.observe = observer.sequence
-        notification.opt.content_format = JSON_FORMAT
-        self._send(notification.encode(), observer.endpoint)
-
     async def _record_packets(self) -> None:
         while True:
             await asyncio.sleep(PACKETS_INTERVAL_S)
@@ -501,40 +375,6 @@
             self._packets = 0
 
 
-def identify_request(message: Message) -> tuple[str, int]:
-    """Find the caller's own name of a request, and the number of the attempt."""
-    if message.payload:
-        try:
-            order = json.loads(message.payload)
-            return str(order["id"]), int(order.get("attempt", 1))
-        except (ValueError, KeyError, TypeError, AttributeError):
-            return "", 1
-    options: Options = message.opt
-    query = read_query(options)
-    request = query.get("id", "")
-    if options.block2 is not None and options.block2.block_number:
-        request = f"{request}#{options.block2.block_number}"
-    return request, int(query.get("attempt", "1"))
-
-
-def build_block(request: Message, document: bytes) -> Message:
-    """Build the answer with the block that a request asks for."""
-    wanted = request.opt.block2
-    exponent = BLOCK_SIZE_EXPONENT
-    number = 0
-    if wanted is not None:
-        exponent = min(exponent, wanted.size_exponent)
-        number = wanted.start // (1 << (exponent + 4))
-    size = 1 << (exponent + 4)
-    block = document[number * size : (number + 1) * size]
-    if not block:
-        return build_answer(request, codes.BAD_OPTION)
-    answer = build_answer(request, codes.CONTENT, block)
-    answer.opt.block2 = (number, (number + 1) * size < len(document), exponent)
-    answer.opt.size2 = len(document)
-    return answer
-
-
 class Control:
     """The health page and the control of faults."""
 
@@ -625,6 +465,4 @@
     "Faults",
     "Health",
     "Work",
-    "build_block",
-    "identify_request",
 ]
