Show repeatable copies refused as not run though they ran

Both tests fail: a host forgets a repeatable request once it is answered or given up, so a copy that finds it full is refused as not run, and a request refused once is run by a copy that comes when there is room.

--- /dev/null
+++ b/tests/core/test_refusals.py
@@ -0,0 +1,60 @@
+"""A refusal that says not run is true of every copy that the host saw."""
+
+from __future__ import annotations
+
+from balsamstream.core.identity import Address
+from balsamstream.core.message import RequestKind
+from balsamstream.core.verdict import MayHaveRun, NotRun
+from tests.core.network import Network
+
+FIRST = Address("127.0.0.1", 40000)
+SECOND = Address("127.0.0.1", 40001)
+
+
+def build_full_host() -> Network:
+    """Return one host that bears one request at a time and has it."""
+    network = Network()
+    network.auto_answer = False
+    profile = {
+        "in_flight_per_slot": 1,
+        "cold_start": {"initial_share": 1.0, "ramp_s": 1},
+        "shed": ["non-repeatable", "new-flow", "repeatable"],
+    }
+    network.declare("comptoir", 5683, profile)
+    network.add_balancer("balancer-1")
+    network.add_agent("comptoir-0", "comptoir", slots=1)
+    network.pass_time(6.0)
+    send(network, FIRST, 1)
+    assert len(network.runs) == 1
+    return network
+
+
+def send(network: Network, caller: Address, request: int) -> None:
+    kind = RequestKind.REPEATABLE
+    network.send_request("balancer-1", "comptoir", caller, request, kind)
+    network.settle()
+
+
+def test_copy_of_a_delivered_request_is_not_refused_as_not_run() -> None:
+    network = build_full_host()
+    network.pass_time(2.2)
+    send(network, SECOND, 2)
+    assert len(network.runs) == 2
+    network.told.clear()
+    send(network, FIRST, 1)
+    assert [type(told.verdict) for told in network.told] == [MayHaveRun]
+
+
+def test_refused_request_is_not_run_by_a_later_copy() -> None:
+    network = build_full_host()
+    agent = network.agents["comptoir-0"]
+    flow = next(iter(agent.state.flows))
+    network.told.clear()
+    send(network, FIRST, 2)
+    answer = agent.take_answer(flow, network.runs[0].request, b"answer", network.now)
+    network.carry_out(agent.state.config.address, answer)
+    network.settle()
+    send(network, FIRST, 2)
+    verdicts = [told.verdict for told in network.told if told.verdict is not None]
+    assert [type(verdict) for verdict in verdicts] == [NotRun, NotRun]
+    assert len(network.runs) == 1
