Remember repeatable requests that a host delivered or refused

Cause: the host knew a repeatable request only while it was in flight, so the verdict on a later copy contradicted the first. A claim at the voters for each repeatable request was ruled out: it would cost a round trip for all work to help only the refused part. Copies that reach different hosts after their flow has moved are not covered.

--- a/src/balsamstream/core/agent.py
+++ b/src/balsamstream/core/agent.py
@@ -39,6 +39,7 @@
 )
 from .neighbours import Neighbours
 from .ownership import Ownership, Place
+from .recent import Outcome, RecentRequests
 from .single_run import SingleRun
 from .state import AgentConfig, AgentState
 from .takeover import Retirement, Succession
@@ -85,6 +86,7 @@
         self.voter = VoterRole(config.service, config.ref)
         self.follower = Follower(self.state.catalogue, config.peers, random)
         self._waiting: dict[tuple[FlowKey, RequestKey], Packet] = {}
+        self._recent = RecentRequests()
         self._next_load_report = 0.0
         self._backend_down_until = 0.0
         self._is_replaced = False
@@ -230,6 +232,8 @@
             actions += self.follower.ask_at_once(sender, now)
         if packet.flow in state.flows and not state.is_out:
             return actions + self._run(packet, now)
+        if self._recent.has(packet.request, Outcome.REFUSED, now):
+            return actions + self._refuse(packet, "refused before", now)
         if self.retirement.successor is not None and packet.hops < MOST_HOPS:
             return actions + self.retirement.pass_on(packet)
         predecessor = self.succession.predecessor
@@ -274,9 +278,12 @@
             self._waiting[key] = packet
             return [self._deliver(packet)]
         full = len(self._waiting) >= MOST_WAITING
-        if full or not state.admission.allows_request(WorkClass.REPEATABLE):
+        refused = self._recent.has(packet.request, Outcome.REFUSED, now)
+        allowed = state.admission.allows_request(WorkClass.REPEATABLE)
+        if full or refused or not allowed:
             return self._refuse(packet, "host full", now)
         self._waiting[key] = packet
+        self._recent.note(packet.request, Outcome.DELIVERED, now)
         state.admission.start_request(packet.flow, packet.request, now)
         return [self._deliver(packet)]
 
@@ -302,8 +309,17 @@
             case RequestKind.NON_REPEATABLE:
                 return self.single_run.refuse(packet, now)
             case RequestKind.REPEATABLE:
-                verdict = self.state.draw_not_run(reason)
-                return [self.state.refuse(packet, verdict), Count("refused_not_run")]
+                return self._refuse_repeatable(packet, reason, now)
+
+    def _refuse_repeatable(
+        self, packet: Packet, reason: str, now: float
+    ) -> list[Action]:
+        if self._recent.has(packet.request, Outcome.DELIVERED, now):
+            verdict = MayHaveRun("an earlier copy was delivered")
+            return [self.state.refuse(packet, verdict), Count("may_have_run")]
+        self._recent.note(packet.request, Outcome.REFUSED, now)
+        refusal = self.state.draw_not_run(reason)
+        return [self.state.refuse(packet, refusal), Count("refused_not_run")]
 
     def _finish(
         self, flow: FlowKey, request: RequestKey, payload: bytes, now: float
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -15,11 +15,14 @@
     CloseFlow,
     Deliver,
     EditView,
+    Refusal,
     RequestKey,
     RequestKind,
+    Send,
 )
 from balsamstream.core.routing import compute_flow_key
 from balsamstream.core.single_run import CLAIM_GIVE_UP_S
+from balsamstream.core.verdict import NotRun
 from tests.core.network import Envelope, Network
 from tests.fuzz.oracle import check_host
 
@@ -59,6 +62,7 @@
         self.queued: dict[Address, list[Envelope]] = {}
         self.asleep_since: dict[Address, float] = {}
         self.pending: dict[ProcessRef, set[tuple[FlowKey, RequestKey]]] = {}
+        self.refused: set[tuple[ProcessRef, bytes]] = set()
         self.limits: dict[ProcessRef, deque[tuple[float, int]]] = {}
         self.edits: list[EditView] = []
         self.cuts: set[tuple[Address, Address]] = set()
@@ -169,6 +173,10 @@
         super().carry_out(source, actions)
         for action in actions:
             match action:
+                case Send(_, Refusal(verdict=NotRun(), head=head)):
+                    agent = self.processes[source]
+                    assert isinstance(agent, AgentDecisions)
+                    self.refused.add((agent.state.config.ref, head))
                 case EditView():
                     self.edits.append(action)
                 case Cancel(flow, request):
