Run no claim that is won after the data centre was taken out

Cause: flows of a host that is out are closed at the next tick; a claim won between the word that it is out and that tick was still delivered. Ruled out: closing the flows at once on the change, as the caller's claim would then stay open without a verdict. tests/core/test_out.py failed before and passes now.

--- a/src/balsamstream/core/single_run.py
+++ b/src/balsamstream/core/single_run.py
@@ -200,7 +200,8 @@
     def _run(self, record: _Record, now: float) -> list[Action]:
         packet = record.packet
         left_ms = packet.deadline_ms - int((now - record.began) * 1000)
-        if left_ms <= 0 or packet.flow not in self._state.flows:
+        held = packet.flow in self._state.flows and not self._state.is_out
+        if left_ms <= 0 or not held:
             return self._mark_refused(record, "too late to run")
         del self._claiming[packet.request]
         record.stage = Stage.RUNNING
