--- a/src/balsamstream/daemon/balancer.py
+++ b/src/balsamstream/daemon/balancer.py
@@ -10,10 +10,12 @@
 from balsamstream.core.identity import Address
 from balsamstream.core.message import (
     Cancel,
+    Changes,
     CloseFlow,
     Count,
     Deliver,
     EditView,
+    Refusal,
     RefuseCaller,
     ReturnToCaller,
     Send,
@@ -64,6 +66,7 @@
         self._registration = Registration(ref, config.address, config.data_centre)
         self._next_registration = 0.0
         self._is_stopping = False
+        self._is_relaying = False
         kernel.add(EDGE, self._edge)
 
     def begin_stop(self) -> None:
@@ -130,7 +133,12 @@
         self, sender: Address, message: Message, now: float
     ) -> Sequence[Action]:
         """Decide on a message."""
-        return self._decisions.receive(sender, message, now)
+        # A host's own verdict is counted there.
+        self._is_relaying = isinstance(message, Refusal)
+        actions = self._decisions.receive(sender, message, now)
+        if isinstance(message, Changes) and message.objects:
+            self._edge.forget_services()
+        return actions
 
     def decide_pause(self, gap_s: float, now: float) -> Sequence[Action]:
         """Decide after a pause of the process."""
@@ -161,12 +169,21 @@
                 case Count(name, amount):
                     self.metrics.count(name, amount)
                 case RefuseCaller():
-                    self._edge.refuse(action)
+                    self._refuse(action)
                 case EditView():
                     self.link.edit(action)
                 case Deliver() | Cancel() | CloseFlow():
                     self.metrics.count("unexpected_action")
 
+    def _refuse(self, action: RefuseCaller) -> None:
+        self._edge.refuse(action)
+        if self._is_relaying:
+            return
+        catalogue = self._decisions.catalogue
+        entry = catalogue.find_service_by_number(action.service)
+        if entry is not None:
+            self.burn.refuse(entry.spec.name, action.verdict)
+
     def _register_at_need(self, now: float) -> None:
         if self._is_stopping or now < self._next_registration:
             return
