Let the routing list the hosts that a new flow compares

The test of a flow passed on by a full host took the second host of the bucket's ranking for the one compared; the compared host is now chosen by the flow. The test picks a caller for which both hold, and checks the same outcome.

--- a/src/balsamstream/core/ownership.py
+++ b/src/balsamstream/core/ownership.py
@@ -19,7 +19,7 @@
     RequestKind,
     Send,
 )
-from .routing import BUCKETS, RoutingVersion
+from .routing import RoutingVersion
 
 if TYPE_CHECKING:
     from .identity import Address, FlowKey, ProcessRef
@@ -380,7 +380,7 @@
         self._budget.add(profile.retry_budget)
         best: Member | None = None
         best_load = 1.0
-        for member in self._list_candidates(packet.flow, profile.choices):
+        for member in state.routing.list_candidates(packet.flow, profile.choices):
             load = self._estimate(member, now)
             if load is None or load > best_load or (best and load == best_load):
                 continue
@@ -395,19 +395,6 @@
         state.loads.count_placed(best.ref.name, now)
         return self._pass(packet, best, PacketFlag.PLACED, "placed_elsewhere")
 
-    def _list_candidates(self, flow: FlowKey, choices: int) -> list[Member]:
-        """Return the bucket's owner and others chosen by the flow.
-
-        Others chosen by the bucket would make each owner share with few hosts.
-        """
-        routing = self._state.routing
-        owner = routing.rank(flow)[0]
-        others = [member for member in routing.eligible if member.ref != owner.ref]
-        if len(others) < choices:
-            return [owner, *others]
-        first = flow // BUCKETS % len(others)
-        return [owner, *(others + others)[first : first + choices - 1]]
-
     def _estimate(self, member: Member, now: float) -> float | None:
         state = self._state
         if member.ref != state.config.ref:
--- a/src/balsamstream/core/routing.py
+++ b/src/balsamstream/core/routing.py
@@ -121,6 +121,19 @@
         ranked = self.rank(flow)
         return ranked[0] if ranked else None
 
+    def list_candidates(self, flow: FlowKey, choices: int) -> list[Member]:
+        """Return the hosts to compare for a new flow, its owner first.
+
+        The others are chosen by the flow: chosen by its bucket, they would make each
+        owner share with few hosts.
+        """
+        owner = self.rank(flow)[0]
+        others = [member for member in self.eligible if member is not owner]
+        if len(others) < choices:
+            return [owner, *others]
+        first = flow // BUCKETS % len(others)
+        return [owner, *(others + others)[first : first + choices - 1]]
+
     def find_reachable(self, name: str) -> Member | None:
         """Return a member that may hold flows, by name."""
         return self._by_name.get(name)
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -86,8 +86,10 @@
     routing = network.agents["comptoir-0"].state.routing
     for port in range(40_000, 41_000):
         caller = Address("127.0.0.1", port)
-        ranked = routing.rank(compute_flow_key("comptoir", caller))
-        if [member.ref.name[-1] for member in ranked] == ["0", "1", "2"]:
+        flow = compute_flow_key("comptoir", caller)
+        ranked = [member.ref.name[-1] for member in routing.rank(flow)]
+        compared = [member.ref.name[-1] for member in routing.list_candidates(flow, 2)]
+        if ranked == ["0", "1", "2"] and compared == ["0", "1"]:
             break
     full = network.agents["comptoir-1"]
     assert full.state.admission is not None
