Answer questions for changes without sorting all objects

Cause: each question sorted every object known; an agent asks about once a second.

Change: objects are kept in order of their versions; an agent's question looks up its service's objects and the shared ones.

--- a/src/balsamstream/core/catalogue.py
+++ b/src/balsamstream/core/catalogue.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from bisect import bisect_right, insort
 from dataclasses import dataclass
+from operator import itemgetter
 from typing import TYPE_CHECKING, Any, Final
 
 import xxhash
@@ -22,6 +23,9 @@
 OBJECTS_PER_REPLY: Final = 200
 SYSTEM_KINDS: Final = frozenset({Kind.VIEW, Kind.BALANCER})
 
+_SHARED_KINDS: Final = frozenset({Kind.DATA_CENTRE.value, Kind.PROFILE.value})
+_SERVICE_KINDS: Final = (Kind.SERVICE.value, Kind.VIEW.value)
+
 
 def number_service(name: str) -> int:
     """Return the 64-bit number by which packets name a service."""
@@ -68,7 +72,9 @@
         self.complete_to = 0
         self.rejected = 0
         self.balancers_changed = 0
-        self._objects: OrderedDict[tuple[str, str], ConfigObject] = OrderedDict()
+        self._objects: dict[tuple[str, str], ConfigObject] = {}
+        self._versions: list[tuple[int, tuple[str, str]]] = []
+        self._shared: dict[tuple[str, str], None] = {}
         self._profiles: dict[str, Profile] = {}
         self._specs: dict[str, ServiceSpec] = {}
         self._views: dict[str, View] = {}
@@ -145,22 +151,43 @@
 
     def answer(self, ask: ChangesAsk) -> Changes:
         """Gather what an asker lacks, oldest first, a bounded part at a time."""
-        wanted = sorted(
-            (found for found in self._objects.values() if self._concerns(found, ask)),
-            key=lambda found: found.version,
-        )
-        later = [found for found in wanted if found.version > ask.have]
+        later = self._list_later(ask)
         part = tuple(later[:OBJECTS_PER_REPLY])
         more = len(later) > len(part)
         up_to = part[-1].version if more else self.complete_to
         return Changes(ask.have, up_to, False, more, part, ask.service or self.service)
 
-    def _concerns(self, found: ConfigObject, ask: ChangesAsk) -> bool:
-        if not ask.service:
-            return True
-        if found.kind in (Kind.DATA_CENTRE.value, Kind.PROFILE.value):
-            return True
-        return found.name == ask.service and found.kind != Kind.BALANCER.value
+    def _list_later(self, ask: ChangesAsk) -> list[ConfigObject]:
+        """Return what an asker lacks, oldest first, up to one more than a part."""
+        if ask.service:
+            return self._list_later_of_service(ask)
+        later: list[ConfigObject] = []
+        first = bisect_right(self._versions, ask.have, key=itemgetter(0))
+        for position in range(first, len(self._versions)):
+            version, key = self._versions[position]
+            found = self._objects[key]
+            if found.version != version:
+                continue
+            later.append(found)
+            if len(later) > OBJECTS_PER_REPLY:
+                break
+        return later
+
+    def _list_later_of_service(self, ask: ChangesAsk) -> list[ConfigObject]:
+        keys = [(kind, ask.service) for kind in _SERVICE_KINDS] + list(self._shared)
+        held = (self._objects.get(key) for key in keys)
+        later = [found for found in held if found and found.version > ask.have]
+        return sorted(later, key=lambda found: found.version)
+
+    def _store(self, key: tuple[str, str], found: ConfigObject) -> None:
+        """Keep an object and its place in the order of versions."""
+        self._objects[key] = found
+        if found.kind in _SHARED_KINDS:
+            self._shared[key] = None
+        insort(self._versions, (found.version, key))
+        if len(self._versions) > 2 * len(self._objects) + OBJECTS_PER_REPLY:
+            held = self._objects.items()
+            self._versions = sorted((known.version, name) for name, known in held)
 
     def _accept_object(self, found: ConfigObject) -> bool:
         key = (found.kind, found.name)
@@ -170,7 +197,7 @@
         if not self._apply(found):
             self.rejected += 1
             return False
-        self._objects[key] = found
+        self._store(key, found)
         return True
 
     def _drop_missing(self, changes: Changes) -> list[ConfigObject]:
@@ -181,7 +208,7 @@
                 continue
             gone = ConfigObject(known.kind, known.name, changes.up_to, None)
             self._apply(gone)
-            self._objects[key] = gone
+            self._store(key, gone)
             dropped.append(gone)
         return dropped
 
