Compare hosts by the load they carry, without the flow to come

Cause: a cold host of two slots bears one request at first. With the flow to come it counted as half full, and with a trace of decayed work as over its limit, so that it got nothing for 25 s and more: no answers, no rise of its limit.

Ruled out: slow answers holding the rise back (4 answers in all came) and failures.

Change: a host that bears no more is full; any other counts what it carries; decayed work is rounded. On equal load the owner keeps the flow.

The test of a flow passed on by a full host had an idle owner win by the flow to come; it gives the owner a flow of its own now and checks the same.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -465,7 +465,8 @@
     for line in lines:
         mark = "fits" if line.fits else "**DOES NOT FIT YET**"
         rows.append(
-            f"| {line.role} | {line.what} | {format_number(line.value)} | {format_number(line.limit)} "
+            f"| {line.role} | {line.what} | {format_number(line.value)} "
+            f"| {format_number(line.limit)} "
             f"| {line.unit} | {line.mechanism} | {mark} |"
         )
     return "\n".join(rows)
--- a/src/balsamstream/core/load.py
+++ b/src/balsamstream/core/load.py
@@ -15,6 +15,9 @@
 HOSTS_HEARD_EACH_S: Final = 6
 """Hosts that each host sends its report to in one second, in turn."""
 
+FULL: Final = math.inf
+"""Load of a host that bears no more."""
+
 LATENCY_ASSUMED_S: Final = 0.05
 LATENCY_LEAST_S: Final = 0.01
 
@@ -92,7 +95,7 @@
         return now - peer.heard > compute_report_life(hosts)
 
     def estimate(self, host: str, now: float) -> float | None:
-        """Return the host's load with one more flow; None if it is not known."""
+        """Return the host's load; None if it is not known."""
         peer = self._peers.get(host)
         if peer is None or now - peer.heard > compute_report_life(len(self._peers)):
             return None
@@ -100,9 +103,9 @@
         if report is None:
             return None
         return estimate_load(
-            report.flows + peer.placed + 1,
+            report.flows + peer.placed,
             report.flow_limit,
-            report.in_flight + peer.decay(now, self.latency_s) + 1,
+            report.in_flight + round(peer.decay(now, self.latency_s)),
             report.in_flight_limit,
         )
 
@@ -114,17 +117,17 @@
 
 
 def estimate_load(
-    flows: int, flow_limit: int, in_flight: float, in_flight_limit: int
+    flows: int, flow_limit: int, in_flight: int, in_flight_limit: int
 ) -> float:
-    """Return the mean used share of the two limits, or the greater one above 1.
+    """Return the mean used share of the two limits, or ``FULL`` if no more fits.
 
-    Nothing fits above 1. Below, the mean weighs both: the greater share alone would
-    place short requests by flows that have long been idle.
+    The mean weighs both: the greater share alone would place short requests by flows
+    that have long been idle. The flow to come does not count: with it, an idle host
+    that bears one request would look half full and never get its limit raised.
     """
-    flow_share = flows / max(1, flow_limit)
-    in_flight_share = in_flight / max(1, in_flight_limit)
-    greater = max(flow_share, in_flight_share)
-    return greater if greater > 1.0 else (flow_share + in_flight_share) / 2
+    if flows >= flow_limit or in_flight >= in_flight_limit:
+        return FULL
+    return (flows / flow_limit + in_flight / in_flight_limit) / 2
 
 
-__all__ = ["PeerLoads", "estimate_load"]
+__all__ = ["FULL", "HOSTS_HEARD_EACH_S", "PeerLoads", "estimate_load"]
--- a/src/balsamstream/core/ownership.py
+++ b/src/balsamstream/core/ownership.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, Final
 
 from .budget import RetryBudget
-from .load import estimate_load
+from .load import FULL, estimate_load
 from .message import (
     Count,
     HolderAsk,
@@ -265,12 +265,12 @@
     def _pass_refused(self, packet: Packet, now: float) -> Placement:
         """Try one more host, within the profile's budget of retries."""
         best: Member | None = None
-        best_load = 1.0
+        best_load = FULL
         for member in self._state.routing.rank(packet.flow):
             if member.ref == self._state.config.ref:
                 continue
             load = self._estimate(member, now)
-            if load is None or load > best_load:
+            if load is None or load >= best_load:
                 continue
             best, best_load = member, load
         if best is None or not self._budget.take():
@@ -379,10 +379,10 @@
             return Placement(packet, Place.REFUSE)
         self._budget.add(profile.retry_budget)
         best: Member | None = None
-        best_load = 1.0
+        best_load = FULL
         for member in state.routing.list_candidates(packet.flow, profile.choices):
             load = self._estimate(member, now)
-            if load is None or load > best_load or (best and load == best_load):
+            if load is None or load >= best_load:
                 continue
             best, best_load = member, load
         if best is None:
@@ -404,9 +404,9 @@
             return None
         limits = admission.limits
         return estimate_load(
-            len(state.flows) + 1,
+            len(state.flows),
             limits.flows,
-            admission.in_flight + 1,
+            admission.in_flight,
             limits.in_flight,
         )
 
--- a/tests/bench/test_flows.py
+++ b/tests/bench/test_flows.py
@@ -6,7 +6,7 @@
 
 from bench.balanced import BalancedSite
 from bench.broken import run_change
-from bench.change import CHANGES
+from bench.change import CHANGES, restart_host
 from bench.deployment import COMPTOIR, Deployment
 
 
@@ -36,3 +36,14 @@
     run_change(site, CHANGES["host restarts"])
     held = [flow for agent in site.agents.values() for flow in agent.state.flows]
     assert len(held) == len(set(held))
+
+
+def test_restarted_host_is_raised_to_its_full_limit() -> None:
+    settings = {**COMPTOIR.profile, "in_flight_per_slot": 8, "flow_idle_s": 30.0}
+    site = BalancedSite(COMPTOIR.change_profile(**settings), 1, 0.04)
+    site.start_fittings(200.0, 30.0)
+    restart_host(site)
+    site.queue.run_for(30.0)
+    admission = site.agents["comptoir-1"].state.admission
+    assert admission is not None
+    assert admission.share == 1.0
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -100,6 +100,7 @@
     report_load(network, "comptoir-1", "comptoir-0", 9)
     balancer = network.balancers["balancer-1"].config.address
     owner = network.agents["comptoir-0"]
+    owner.state.flows.touch(compute_flow_key("other", caller), caller, caller, 0.0)
     address = owner.state.config.address
     for request in (1, 2):
         packet = build_packet(network, caller, request)
