--- a/demo/run.py
+++ b/demo/run.py
@@ -181,6 +181,8 @@
     signal.signal(signal.SIGTERM, _exit_on_signal)
     if directory is not None:
         directory.mkdir(parents=True, exist_ok=True)
+        if any(directory.iterdir()):
+            sys.exit(f"{directory} is not empty: records of two runs would mix")
         sys.exit(_run_in(directory, seed))
     with tempfile.TemporaryDirectory(prefix="balsamstream-demo-") as temporary:
         sys.exit(_run_in(Path(temporary), seed))
