--- a/src/balsamstream/core/single_run.py
+++ b/src/balsamstream/core/single_run.py
@@ -200,7 +200,8 @@
     def _run(self, record: _Record, now: float) -> list[Action]:
         packet = record.packet
         left_ms = packet.deadline_ms - int((now - record.began) * 1000)
-        if left_ms <= 0 or packet.flow not in self._state.flows:
+        held = packet.flow in self._state.flows and not self._state.is_out
+        if left_ms <= 0 or not held:
             return self._mark_refused(record, "too late to run")
         del self._claiming[packet.request]
         record.stage = Stage.RUNNING
@@ -259,7 +260,8 @@
             verdict = MayHaveRun("claimed by a host that is gone")
             return [self._state.refuse(packet, verdict), Count("may_have_run")]
         flags = packet.flags | PacketFlag.PLACED
-        passed = replace(packet, hops=packet.hops + 1, flags=flags)
+        version = self._state.routing.version
+        passed = replace(packet, version=version, hops=packet.hops + 1, flags=flags)
         return [Send(member.address, passed), Count("passed_to_claimant")]
 
     def _forget_old(self, now: float) -> None:
