Show the newest burn rate of a service that has just begun

Cause: with one slot of counts the line had no length and the plot looked empty; few hosts got bars as thick as the plot. Seen on an image of such a service.

Conclusion: the tests of the report pass.

--- a/src/balsamstream/report/plot.py
+++ b/src/balsamstream/report/plot.py
@@ -14,6 +14,7 @@
 
 BIN_S: Final = 60
 MOST_HOSTS: Final = 24
+LEAST_ROWS: Final = 5
 IN_TIME_COLOUR: Final = "#4c956c"
 LATE_COLOUR: Final = "#e9c46a"
 REFUSED_COLOUR: Final = "#457b9d"
@@ -75,11 +76,14 @@
         minutes.append((end_s - now_s) / BIN_S)
         rates.append(float("nan") if rate is None else rate)
     axis.plot(minutes, rates, color=LINE_COLOUR, linewidth=1.5)
+    if item.short_rate is not None:
+        # A service that has just begun has no line yet, but this point.
+        axis.plot([0], [item.short_rate], "o", color=LINE_COLOUR, clip_on=False)
     axis.axhline(1.0, color=GUIDE_COLOUR, linestyle="--", linewidth=1)
     axis.axhline(FAST_RATE, color=UNKNOWN_COLOUR, linestyle=":", linewidth=1)
     # Linear up to the budget, so that a quiet hour reads as one.
     axis.set_yscale("symlog", linthresh=1.0)
-    known = [rate for rate in rates if rate == rate]
+    known = [rate for rate in [*rates, item.short_rate or 0.0] if rate == rate]
     top = max([FAST_RATE * 2, *known]) * 1.2
     axis.set_ylim(0, top)
     ticks = [tick for tick in (0, 1, 10, 100, 1_000, 10_000) if tick <= top]
@@ -145,7 +149,9 @@
         color=LINE_COLOUR,
     )
     axis.tick_params(axis="y", labelsize=8 if len(shown) <= 12 else 6)
-    axis.margins(y=0.08)
+    # Few hosts get bars of the usual height.
+    lowest = len(shown) - max(len(shown), LEAST_ROWS)
+    axis.set_ylim(lowest - 0.7, len(shown) - 0.3)
 
 
 def _bin_slots(slots: tuple[BurnSlot, ...], now_s: float) -> list[BurnSlot]:
