--- a/src/balsamstream/platform/watch.py
+++ b/src/balsamstream/platform/watch.py
@@ -233,7 +233,7 @@
         return self._skip("not a known object")
 
     def _skip(self, reason: str) -> _Skipped:
-        self._log.debug("watch.skip", reason=reason, version=self._version)
+        self._log.debug("watch_event_skipped", reason=reason, version=self._version)
         return _Skipped()
 
     async def _interrupt(self, text: str, delay_s: float | None = None) -> Interrupted:
@@ -241,7 +241,7 @@
         drawn_s = self._backoff.draw_delay_s(self._failures, self._source)
         if delay_s is not None:
             drawn_s += delay_s
-        self._log.warning("watch.interrupt", reason=text, failures=self._failures)
+        self._log.warning("watch_interrupted", reason=text, failures=self._failures)
         await self._sleep(drawn_s)
         return Interrupted(text)
 
--- a/tests/config/test_docs.py
+++ b/tests/config/test_docs.py
@@ -23,6 +23,7 @@
     from collections.abc import Iterator
 
 DOCS = Path(__file__).parents[2] / "docs"
+SOURCES = DOCS.parent / "src"
 EXAMPLES = DOCS / "operators" / "examples"
 SETTINGS = (DOCS / "settings.md").read_text(encoding="utf-8")
 
@@ -102,6 +103,17 @@
     assert isinstance(load_settings(tmp_path / name), Success)
 
 
+@pytest.mark.parametrize("heading", ["Logs", "Metrics"])
+def test_every_event_and_metric_is_in_the_code(heading: str) -> None:
+    page = (DOCS / "operators" / "observe.md").read_text(encoding="utf-8")
+    section = page.partition(f"\n## {heading}\n")[2].partition("\n## ")[0]
+    first_cells = re.findall(r"^\| (`[^|]*) \|", section, re.MULTILINE)
+    names = re.findall(r"`([a-z_]+)`", " ".join(first_cells))
+    code = "".join(path.read_text(encoding="utf-8") for path in SOURCES.rglob("*.py"))
+    assert len(names) > 10
+    assert [name for name in names if f'"{name}"' not in code] == []
+
+
 def test_links_lead_to_pages() -> None:
     for page in [DOCS / "settings.md", *(DOCS / "operators").glob("*.md")]:
         for target in re.findall(r"\]\(([^)#]+)\)", page.read_text(encoding="utf-8")):
