Claim completeness only for what an agent follows

Ruled out: lost edits (none was asked for) and the pause at start (others had it too). The new test failed first, passes now. An answer in parts no longer claims versions beyond its own either.

--- a/src/balsamstream/core/catalogue.py
+++ b/src/balsamstream/core/catalogue.py
@@ -144,7 +144,11 @@
         return taken
 
     def answer(self, ask: ChangesAsk) -> Changes:
-        """Gather what an asker lacks, oldest first, a bounded part at a time."""
+        """Gather what an asker lacks, oldest first, a bounded part at a time.
+
+        An agent lacks what concerns other services; asked for one of them, it gives
+        what it has and claims no version to be complete.
+        """
         wanted = sorted(
             (found for found in self._objects.values() if self._concerns(found, ask)),
             key=lambda found: found.version,
@@ -152,8 +156,12 @@
         later = [found for found in wanted if found.version > ask.have]
         part = tuple(later[:OBJECTS_PER_REPLY])
         more = len(later) > len(part)
-        up_to = part[-1].version if more else self.complete_to
-        return Changes(ask.have, up_to, False, more, part, ask.service or self.service)
+        up_to = self.complete_to
+        if self.service not in ("", ask.service):
+            up_to = ask.have
+        elif more:
+            up_to = min(part[-1].version, up_to)
+        return Changes(ask.have, up_to, False, more, part, ask.service)
 
     def _concerns(self, found: ConfigObject, ask: ChangesAsk) -> bool:
         if not ask.service:
--- /dev/null
+++ b/tests/core/test_catalogue.py
@@ -0,0 +1,54 @@
+"""What a process takes from others' catalogues."""
+
+from __future__ import annotations
+
+from balsamstream.core.catalogue import Catalogue
+from balsamstream.core.message import Changes, ChangesAsk, ConfigObject
+
+SERVICE_SPEC = {"address": "127.0.0.1:5683", "profile": "counter"}
+
+
+def build_changes() -> Changes:
+    objects = (
+        ConfigObject("Profile", "counter", 1, {}),
+        ConfigObject("Service", "comptoir", 2, SERVICE_SPEC),
+        ConfigObject("DataCentre", "medina", 3, {"state": "in"}),
+    )
+    return Changes(0, 3, False, False, objects)
+
+
+def test_answer_of_another_services_agent_hides_nothing() -> None:
+    whole = Catalogue()
+    whole.accept(build_changes())
+    fitter = Catalogue("fitter")
+    fitter.accept(whole.answer(ChangesAsk(0, "fitter")))
+    comptoir = Catalogue("comptoir")
+    comptoir.accept(fitter.answer(ChangesAsk(0, "comptoir")))
+    comptoir.accept(whole.answer(ChangesAsk(comptoir.complete_to, "comptoir")))
+    assert comptoir.find_service("comptoir") is not None
+
+
+def test_older_version_of_an_object_changes_nothing() -> None:
+    catalogue = Catalogue()
+    catalogue.accept(build_changes())
+    late = ConfigObject("DataCentre", "medina", 2, {"state": "out"})
+    assert catalogue.accept(Changes(0, 2, False, False, (late,))) == []
+    assert catalogue.out == frozenset()
+
+
+def test_deleted_object_does_not_come_back_from_a_late_copy() -> None:
+    catalogue = Catalogue()
+    catalogue.accept(build_changes())
+    gone = ConfigObject("Service", "comptoir", 4, None)
+    catalogue.accept(Changes(3, 4, False, False, (gone,)))
+    catalogue.accept(build_changes())
+    assert catalogue.find_service("comptoir") is None
+
+
+def test_object_that_fails_validation_leaves_the_last_valid_one() -> None:
+    catalogue = Catalogue()
+    catalogue.accept(build_changes())
+    wrong = ConfigObject("Profile", "counter", 9, {"deadline_ms": -1})
+    assert catalogue.accept(Changes(3, 9, False, False, (wrong,))) == []
+    assert catalogue.find_service("comptoir") is not None
+    assert catalogue.rejected == 1
