--- a/demo/plan.py
+++ b/demo/plan.py
@@ -19,7 +19,7 @@
 RESTARTED_HOST: Final = "fitting-2"
 REMOVED_DATA_CENTRE: Final = "thyna"
 
-COLD_S: Final = 2.0
+COLD_S: Final = 5.0
 WARM_UP_S: Final = 4.0
 STEADY_S: Final = 6.0
 FABRIC_DETECTS_S: Final = 1.0
@@ -32,7 +32,7 @@
 PROFILE: Final[dict[str, Any]] = {
     "requests": "by-method",
     "deadline_ms": 2_000,
-    "cold_start": {"initial_share": 0.05, "ramp_s": 3.0},
+    "cold_start": {"initial_share": 0.05, "ramp_s": 6.0},
     "retry_after_s": {"least": 1.0, "most": 2.0},
 }
 
