--- a/src/balsamstream/core/ownership.py
+++ b/src/balsamstream/core/ownership.py
@@ -130,7 +130,7 @@
         pinned = self._find_pinned(packet.flow, now)
         if pinned is not None:
             return [self._pass(packet, pinned, PacketFlag.PLACED, "passed_to_holder")]
-        if acting or not self.is_synced:
+        if acting or not self.is_synced or packet.flow in self._asked:
             absent = owner.ref if acting else me
             return self._ask_holders(packet, absent, now)
         return [self._place_new(packet, now)]
@@ -276,7 +276,7 @@
         if best is None or not self._budget.take():
             return Placement(packet, Place.REFUSE, (Count("placed_refused"),))
         self._pin(packet.flow, best.ref)
-        self._state.loads.count_placed(best.ref.name)
+        self._state.loads.count_placed(best.ref.name, now)
         passed = self._pass(packet, best, PacketFlag.PLACED, "placed_again")
         return replace(passed, actions=(*passed.actions, *self._tell_pin(packet.flow)))
 
@@ -359,6 +359,9 @@
         asked = self._asked.pop(flow)
         placements: list[Placement] = []
         for packet in asked.packets:
+            if flow in self._state.flows:
+                placements.append(Placement(packet, Place.TAKE))
+                continue
             pinned = self._find_pinned(flow, now)
             if pinned is None:
                 placements.append(self._place_new(packet, now))
@@ -380,7 +383,7 @@
         self._budget.add(profile.retry_budget)
         best: Member | None = None
         best_load = 1.0
-        for member in state.routing.rank(packet.flow)[: profile.choices]:
+        for member in state.routing.list_candidates(packet.flow, profile.choices):
             load = self._estimate(member, now)
             if load is None or load > best_load or (best and load == best_load):
                 continue
@@ -392,7 +395,7 @@
         if best.ref == state.config.ref:
             return Placement(packet, Place.TAKE)
         self._pin(packet.flow, best.ref)
-        state.loads.count_placed(best.ref.name)
+        state.loads.count_placed(best.ref.name, now)
         return self._pass(packet, best, PacketFlag.PLACED, "placed_elsewhere")
 
     def _estimate(self, member: Member, now: float) -> float | None:
