Leave a profile that came into use when an apply is undone

Cause: putting a failed set back removed a profile that this set had made, although another operator's service could name it by then, which left that service without one. The undo now takes the guard that delete has, and says what stays.

--- a/src/balsamstream/command/apply.py
+++ b/src/balsamstream/command/apply.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from returns.result import Failure, Result, Success
 
 from ..config import Kind, check_set
-from ..platform import Missing, Unavailable
+from ..platform import Unavailable
+from .delete import remove_unused
 from .outcome import (
     NOTHING_CHANGED,
     ExitCode,
@@ -144,16 +145,19 @@
 
 async def _undo(client: PlatformClient, progress: _Progress) -> None:
     for step, written in reversed(progress.written):
-        result: Result[Any, PlatformError]
-        if step.base is None:
-            result = await client.remove(written)
-        else:
-            base = step.base
-            result = await client.write(step.kind, step.name, written, base.spec)
-        if isinstance(result, Success) or isinstance(result.failure(), Missing):
-            progress.undone.append(step)
-            continue
-        progress.stuck.append(step)
+        is_undone = await _put_back(client, step, written)
+        (progress.undone if is_undone else progress.stuck).append(step)
+
+
+async def _put_back(client: PlatformClient, step: Step, written: StoredObject) -> bool:
+    if step.base is not None:
+        base = step.base
+        result = await client.write(step.kind, step.name, written, base.spec)
+        return isinstance(result, Success)
+    if step.kind is Kind.PROFILE:
+        # Another operator's service may use it by now.
+        return isinstance(await remove_unused(client, written), Success)
+    return isinstance(await client.remove(written), Success)
 
 
 def _describe_failure(fault: Fault, steps: list[Step], progress: _Progress) -> Fault:
--- a/src/balsamstream/command/delete.py
+++ b/src/balsamstream/command/delete.py
@@ -32,11 +32,17 @@
             subject = f"{kind.value.lower()} {name}"
             return Failure(build_platform_fault(error, subject))
         case Success(stored):
-            return await _delete(client, stored)
+            deleted = await remove_unused(client, stored)
+            value = {"kind": kind.value, "name": name, "action": "delete"}
+            line = f"{name_object(stored)} was deleted"
+            return deleted.map(lambda _: Output(value, lines=(line,)))
     raise AssertionError("unreachable")
 
 
-async def _delete(client: PlatformClient, stored: StoredObject) -> Outcome:
+async def remove_unused(
+    client: PlatformClient, stored: StoredObject
+) -> Result[None, Fault]:
+    """Delete an object that was read, and put it back if it came into use."""
     subject = name_object(stored)
     users = await _find_users(client, stored)
     if not isinstance(users, Success):
@@ -50,8 +56,7 @@
     late = (await _find_users(client, stored)).value_or([])
     if late:
         return Failure(await _restore(client, stored, late))
-    value = {"kind": stored.kind.value, "name": stored.name, "action": "delete"}
-    return Success(Output(value, lines=(f"{subject} was deleted",)))
+    return Success(None)
 
 
 async def _find_users(
@@ -102,4 +107,4 @@
     return Fault(ExitCode.PARTIAL, kept, {"used_by": users})
 
 
-__all__ = ["delete_object"]
+__all__ = ["delete_object", "remove_unused"]
--- a/tests/command/test_apply.py
+++ b/tests/command/test_apply.py
@@ -14,6 +14,7 @@
     PlatformClient,
     PlatformError,
     StoredObject,
+    TooLarge,
     Unavailable,
 )
 from tests.command.samples import (
@@ -136,6 +137,20 @@
     asyncio.run(run())
 
 
+def test_undo_leaves_a_profile_that_came_into_use(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with open_platform() as (_, url), open_client(url) as client:
+            spec = {"address": "127.0.0.1:1", "profile": "counter"}
+            await client.create(Kind.SERVICE, "theirs", spec)
+            path = write_file(tmp_path, PROFILE, DATA_CENTRE)
+            fault = await apply_broken(client, path, TooLarge())
+            assert fault.code is ExitCode.PARTIAL
+            assert fault.value["still_changed"] == ["profile counter"]
+            assert await read_spec(client, Kind.PROFILE, "counter") != {}
+
+    asyncio.run(run())
+
+
 def test_unknown_effect_is_said_so(tmp_path: Path) -> None:
     async def run() -> None:
         async with open_platform() as (_, url), open_client(url) as client:
