--- a/src/balsamstream/daemon/balancer.py
+++ b/src/balsamstream/daemon/balancer.py
@@ -156,6 +156,7 @@
         """Watch the platform where that is due, and stay announced."""
         await self.link.set_watching(self._decisions.should_watch)
         self._register_at_need(self.clock.last.monotonic)
+        self._edge.show_counts()
         self.metrics.set_gauge("hints", self._decisions.hint_count)
 
     def carry_out(self, actions: Sequence[Action]) -> None:
--- a/src/balsamstream/daemon/datagram.py
+++ b/src/balsamstream/daemon/datagram.py
@@ -48,6 +48,8 @@
         self._take = take
         self._metrics = metrics
         self._socket: socket.socket | None = None
+        self._received = 0
+        self._sent = 0
         self._buffer = bytearray(LARGEST_DATAGRAM_BYTES)
         self._view = memoryview(self._buffer)
 
@@ -88,9 +90,19 @@
             return
         try:
             self._socket.sendto(datagram, to)
+            self._sent += 1
         except OSError as error:
             self._metrics.note_loss(f"{self._name}_send", error)
 
+    def show_counts(self) -> None:
+        """Add what was received and sent since the last call to the counters."""
+        received, self._received = self._received, 0
+        sent, self._sent = self._sent, 0
+        if received:
+            self._metrics.count(f"{self._name}_received", received)
+        if sent:
+            self._metrics.count(f"{self._name}_sent", sent)
+
     def discard(self) -> int:
         """Read and drop what is queued; return how many datagrams that were."""
         dropped = 0
@@ -116,6 +128,7 @@
             except OSError:
                 # An ICMP error of an earlier datagram; the next receive goes on.
                 continue
+            self._received += 1
             try:
                 self._take(bytes(self._view[:size]), source)
             except Exception as error:
--- a/src/balsamstream/daemon/edge.py
+++ b/src/balsamstream/daemon/edge.py
@@ -111,6 +111,10 @@
         """Close the socket."""
         self._socket.close()
 
+    def show_counts(self) -> None:
+        """Add what was received and sent to the counters."""
+        self._socket.show_counts()
+
     def discard(self) -> int:
         """Drop what is queued in the socket; return how many datagrams."""
         return self._socket.discard()
--- a/src/balsamstream/daemon/transport.py
+++ b/src/balsamstream/daemon/transport.py
@@ -99,7 +99,8 @@
         self._sealer.replace_keys(_convert_keys(keys))
 
     def advance(self, wall: float, monotonic: float) -> None:
-        """Take the time, in seconds, and forget fragments that are too old."""
+        """Take the time, in seconds, forget old fragments and show counts."""
+        self._socket.show_counts()
         self._clock.advance(wall, monotonic)
         self._reassembler.forget_old(monotonic)
 
--- a/tests/daemon/test_run.py
+++ b/tests/daemon/test_run.py
@@ -100,6 +100,7 @@
         running = start_daemon(processes, tmp_path, role)
         page = running.read_page("/status")
         assert (page["role"], page["name"]) == (role, f"{role}-1")
+        assert page["data_centres_out"] == []
         assert running.read_page("/burn")["daemon"] == f"{role}-1"
         running.wait_for_line(f"level=info event=ready address={running.address}")
         processes.terminate("daemon")
