--- a/src/balsamstream/core/catalogue.py
+++ b/src/balsamstream/core/catalogue.py
@@ -150,12 +150,20 @@
         return taken
 
     def answer(self, ask: ChangesAsk) -> Changes:
-        """Gather what an asker lacks, oldest first, a bounded part at a time."""
+        """Gather what an asker lacks, oldest first, a bounded part at a time.
+
+        An agent lacks what concerns other services; asked for one of them, it gives
+        what it has and claims no version to be complete.
+        """
         later = self._list_later(ask)
         part = tuple(later[:OBJECTS_PER_REPLY])
         more = len(later) > len(part)
-        up_to = part[-1].version if more else self.complete_to
-        return Changes(ask.have, up_to, False, more, part, ask.service or self.service)
+        up_to = self.complete_to
+        if self.service not in ("", ask.service):
+            up_to = ask.have
+        elif more:
+            up_to = min(part[-1].version, up_to)
+        return Changes(ask.have, up_to, False, more, part, ask.service)
 
     def _list_later(self, ask: ChangesAsk) -> list[ConfigObject]:
         """Return what an asker lacks, oldest first, up to one more than a part."""
