Go on with a host's flows from the same addresses in a new agent process

Cause: the decisions handed flows over, but the backend server saw new endpoints and told old ones farewell. Each flow's socket is now bound to a loopback address that follows from its key, a flow that is kept is closed quietly, and the new agent opens its sockets at once. Ruled out: ephemeral ports told in the hand-over, which a lost message would lose.

--- a/src/balsamstream/core/message.py
+++ b/src/balsamstream/core/message.py
@@ -414,11 +414,25 @@
     request: RequestKey
 
 
+@dataclass(frozen=True, slots=True)
+class OpenFlow:
+    """Open the flow's socket ahead of its next datagram."""
+
+    flow: FlowKey
+
+
 @dataclass(frozen=True, slots=True)
 class CloseFlow:
-    """Close the flow's socket."""
+    """Close the flow's socket.
+
+    Parameters
+    ----------
+    is_kept : bool
+        Another process goes on with the flow: the backend server is told nothing.
+    """
 
     flow: FlowKey
+    is_kept: bool = False
 
 
 @dataclass(slots=True)
@@ -460,6 +474,7 @@
     Send
     | Deliver
     | Cancel
+    | OpenFlow
     | CloseFlow
     | ReturnToCaller
     | RefuseCaller
@@ -490,6 +505,7 @@
     "HolderReply",
     "LoadReport",
     "Message",
+    "OpenFlow",
     "Packet",
     "PacketFlag",
     "Ping",
--- a/src/balsamstream/core/takeover.py
+++ b/src/balsamstream/core/takeover.py
@@ -9,6 +9,7 @@
     CloseFlow,
     Count,
     HeldFlow,
+    OpenFlow,
     PacketFlag,
     Send,
     TakeoverAsk,
@@ -69,13 +70,16 @@
         self._heard = now
         if part.after != self._after:
             return []
+        opened: list[Action] = []
         for held in part.flows:
             self._state.flows.touch(held.flow, held.caller, held.via, now)
+            opened.append(OpenFlow(held.flow))
         if self._state.admission is not None:
             self._state.admission.raise_share(part.share)
         if part.flows:
             self._after = part.flows[-1].flow
-            return [*self._ask(now), Count("flows_taken_over", len(part.flows))]
+            count = Count("flows_taken_over", len(part.flows))
+            return [*opened, *self._ask(now), count]
         if part.left == 0:
             self.is_settled = True
             return []
@@ -158,7 +162,7 @@
                 continue
             self._given[flow] = held
             self._state.flows.close(flow)
-            actions.append(CloseFlow(flow))
+            actions.append(CloseFlow(flow, is_kept=True))
         return actions
 
     def _build_part(self, ask: TakeoverAsk) -> TakeoverPart:
--- a/src/balsamstream/daemon/agent.py
+++ b/src/balsamstream/daemon/agent.py
@@ -14,6 +14,7 @@
     Count,
     Deliver,
     EditView,
+    OpenFlow,
     Refusal,
     RefuseCaller,
     ReturnToCaller,
@@ -96,12 +97,16 @@
             "sockets": len(self._backend),
         }
 
-    def take_answer(self, flow: FlowKey, request: RequestKey, payload: bytes) -> None:
+    def take_answer(
+        self, flow: FlowKey, request: RequestKey, payload: bytes, is_refusal: bool
+    ) -> None:
         """Take a datagram of the backend server."""
         now = self.clock.last.monotonic
         if request != NO_REQUEST:
             self.burn.finish(self._agent.service, request, now)
-        self.carry_out(self._decisions.take_answer(flow, request, payload, now))
+        self.carry_out(
+            self._decisions.take_answer(flow, request, payload, now, is_refusal)
+        )
 
     def notice_backend_refused(self, flow: FlowKey) -> None:
         """Note that the backend server's port refused a datagram."""
@@ -157,6 +162,8 @@
                 case Cancel():
                     self._backend.cancel(action)
                     self.burn.give_up(action.request)
+                case OpenFlow(flow):
+                    self._backend.open_flow(flow)
                 case CloseFlow():
                     self._backend.close_flow(action)
                 case EditView():
--- a/src/balsamstream/daemon/backend.py
+++ b/src/balsamstream/daemon/backend.py
@@ -27,12 +27,17 @@
 MOST_SOCKETS: Final = 65_536
 FILES_KEPT_FREE: Final = 256
 BATCH_DATAGRAMS: Final = 16
+LOOPBACK_PREFIX: Final = "127."
+FIRST_SOURCE_PORT: Final = 10_240
+SOURCE_PORTS: Final = 50_000
 
 
 class AnswerTaker(Protocol):
     """Who takes what the backend server sends."""
 
-    def take_answer(self, flow: FlowKey, request: RequestKey, payload: bytes) -> None:
+    def take_answer(
+        self, flow: FlowKey, request: RequestKey, payload: bytes, is_refusal: bool
+    ) -> None:
         """Take a datagram and the request that it completes, or ``NO_REQUEST``."""
 
     def notice_backend_refused(self, flow: FlowKey) -> None:
@@ -112,6 +117,11 @@
             payload = rules.protocol.add_deadline(payload, action.deadline_ms)
         self._send(action.flow, found, payload)
 
+    def open_flow(self, flow: FlowKey) -> None:
+        """Open a flow's socket, so that what the backend server sends arrives."""
+        if flow not in self._sockets and self._open_socket(flow) is None:
+            self._metrics.count("lost.backend_sockets_full")
+
     def cancel(self, action: Cancel) -> None:
         """Forget a request that nobody waits for; its deadline ends it there."""
         if self._rules is not None:
@@ -122,6 +132,8 @@
         found = self._sockets.get(action.flow)
         if found is not None and self._rules is not None:
             for farewell in self._rules.matcher.close_flow(action.flow):
+                if action.is_kept:
+                    continue
                 with contextlib.suppress(OSError):
                     found.send(farewell)
         self._close_socket(action.flow)
@@ -152,6 +164,7 @@
         opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         opened.setblocking(False)
         try:
+            _bind_by_flow(opened, flow, self._address)
             opened.connect(self._address)
             asyncio.get_running_loop().add_reader(opened, self._drain, flow, opened)
         except OSError as error:
@@ -192,10 +205,31 @@
     def _take(self, flow: FlowKey, payload: bytes) -> None:
         rules = self._rules
         request = NO_REQUEST
+        is_refusal = False
         if rules is not None:
             request = rules.matcher.match(flow, payload)
+            is_refusal = rules.protocol.is_refusal(payload)
         if self._taker is not None:
-            self._taker.take_answer(flow, request, payload)
+            self._taker.take_answer(flow, request, payload, is_refusal)
+
+
+def _bind_by_flow(opened: socket.socket, flow: FlowKey, server: Address) -> None:
+    """Send from an address that follows from the flow.
+
+    Another agent process on this host then goes on with the flow unnoticed by the
+    backend server. Where the address is taken, or the backend server is not on the
+    loopback network, the system chooses one.
+    """
+    if not server.ip.startswith(LOOPBACK_PREFIX):
+        return
+    with contextlib.suppress(OSError):
+        opened.bind(compute_source(flow))
+
+
+def compute_source(flow: FlowKey) -> tuple[str, int]:
+    """Return the loopback address and port that a flow's datagrams come from."""
+    ip = f"127.{64 + flow % 64}.{flow >> 6 & 0xFF}.{1 + (flow >> 14) % 254}"
+    return ip, FIRST_SOURCE_PORT + (flow >> 22) % SOURCE_PORTS
 
 
 def _drop_queued(found: socket.socket) -> int:
@@ -224,4 +258,4 @@
     return wanted
 
 
-__all__ = ["AnswerTaker", "BackendSockets"]
+__all__ = ["AnswerTaker", "BackendSockets", "compute_source"]
--- a/src/balsamstream/edge/coap.py
+++ b/src/balsamstream/edge/coap.py
@@ -43,6 +43,9 @@
 GATEWAY_TIMEOUT: Final = 0xA4
 MOST_MAX_AGE_S: Final = 3_600
 
+_REFUSING_CODES: Final = frozenset({0xA3, 0x9D})
+"""5.03 Service Unavailable and 4.29 Too Many Requests."""
+
 GET: Final = 1
 PUT: Final = 3
 DELETE: Final = 4
@@ -121,6 +124,10 @@
         added = build_option(DEADLINE_OPTION - last, value)
         return datagram[:end] + added + datagram[end:]
 
+    def is_refusal(self, datagram: bytes) -> bool:
+        """Tell whether the code is one of those for too much load."""
+        return len(datagram) > 1 and datagram[1] in _REFUSING_CODES
+
     def create_matcher(self) -> AnswerMatcher:
         """Create a matcher by token and Message-ID."""
         return CoapMatcher()
--- a/src/balsamstream/edge/opaque.py
+++ b/src/balsamstream/edge/opaque.py
@@ -52,6 +52,10 @@
         """Return the datagram as it is."""
         return datagram
 
+    def is_refusal(self, datagram: bytes) -> bool:
+        """Return that nothing can be told."""
+        return False
+
     def create_matcher(self) -> AnswerMatcher:
         """Create a matcher that matches nothing."""
         return OpaqueMatcher()
--- a/src/balsamstream/edge/protocol.py
+++ b/src/balsamstream/edge/protocol.py
@@ -72,6 +72,10 @@
     def add_deadline(self, datagram: bytes, deadline_ms: int) -> bytes:
         """Tell the backend server how many milliseconds are left for a request."""
 
+    @abstractmethod
+    def is_refusal(self, datagram: bytes) -> bool:
+        """Tell whether a backend server's datagram refuses a request for its load."""
+
     @abstractmethod
     def create_matcher(self) -> AnswerMatcher:
         """Create the matcher of one agent."""
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -193,6 +193,25 @@
         settings = self._build_settings(host.name, "agent", host.data_centre)
         self._start_daemon(host.name, {**settings, "agent": agent})
 
+    def replace_agent(self, host: HostPlan) -> str:
+        """Start a second agent of a host beside the first, which retires.
+
+        Returns
+        -------
+        str
+            Name of the new process.
+        """
+        name = f"{host.name}.new"
+        self.daemons[name] = DaemonPlace()
+        agent = {
+            "service": host.service,
+            "slots": self.plan.slots,
+            "backend_server": self.backends[host.name].listen,
+        }
+        settings = self._build_settings(name, "agent", host.data_centre)
+        self._start_daemon(name, {**settings, "name": host.name, "agent": agent})
+        return name
+
     def start_balancer(self, name: str, data_centre: str) -> None:
         """Start a balancer, not yet connected to the fabric."""
         settings = self._build_settings(name, "balancer", data_centre)
--- a/tests/daemon/test_backend.py
+++ b/tests/daemon/test_backend.py
@@ -39,7 +39,9 @@
         self.answers: list[tuple[FlowKey, RequestKey, bytes]] = []
         self.refused: list[FlowKey] = []
 
-    def take_answer(self, flow: FlowKey, request: RequestKey, payload: bytes) -> None:
+    def take_answer(
+        self, flow: FlowKey, request: RequestKey, payload: bytes, is_refusal: bool
+    ) -> None:
         """Record an answer."""
         self.answers.append((flow, request, payload))
 
--- a/tests/process/test_planned_changes.py
+++ b/tests/process/test_planned_changes.py
@@ -77,3 +77,18 @@
     expect_sound(figures)
     assert figures.lost == 0
     assert figures.unknown == 0
+
+
+def test_boards_survive_the_replacement_of_their_agent(tmp_path: Path) -> None:
+    with open_scene(tmp_path) as scene:
+        fleet = scene.fleet
+        name = fleet.replace_agent(scene.hosts["counter-1"])
+        fleet.wait_daemon(name)
+        time.sleep(8.0)
+        status = fleet.processes.stop("counter-1")
+        time.sleep(3.0)
+        figures = scene.finish()
+    assert status == 0
+    expect_sound(figures)
+    assert figures.lost == 0
+    assert figures.broken_flows == 0
