--- a/demo/plan.py
+++ b/demo/plan.py
@@ -21,13 +21,13 @@
 
 COLD_S: Final = 5.0
 WARM_UP_S: Final = 4.0
-STEADY_S: Final = 6.0
+STEADY_S: Final = 5.0
 FABRIC_DETECTS_S: Final = 1.0
-BALANCERS_S: Final = 3.0
+BALANCERS_S: Final = 2.0
 DRAIN_S: Final = 3.0
-RESTART_S: Final = 4.0
+RESTART_S: Final = 3.0
 OUT_S: Final = 6.5
-BACK_S: Final = 5.0
+BACK_S: Final = 4.0
 
 PROFILE: Final[dict[str, Any]] = {
     "requests": "by-method",
