--- a/src/balsamstream/daemon/edge.py
+++ b/src/balsamstream/daemon/edge.py
@@ -32,7 +32,7 @@
     from .settings import EdgeSettings
 
 MOST_FABRIC_ROUTES: Final = 65_536
-MOST_ROUTES: Final = 16_384
+MOST_ROUTES: Final = 8_192
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/balsamstream/daemon/run.py
+++ b/src/balsamstream/daemon/run.py
@@ -3,22 +3,13 @@
 from __future__ import annotations
 
 import argparse
-import asyncio
 import sys
-from typing import TYPE_CHECKING
-
-import structlog
-from returns.result import Failure, Success
-
-from .daemon import Daemon
-from .logs import configure_logs
-from .settings import LogLevel, load_settings
+from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-EXIT_FAILED = 1
-EXIT_WRONG_SETTINGS = 2
+EXIT_WRONG_SETTINGS: Final = 2
 
 
 def run(arguments: Sequence[str] | None = None) -> None:
@@ -49,6 +40,28 @@
         "--settings", required=True, metavar="FILE", help="YAML file with the settings"
     )
     path = parser.parse_args(arguments).settings
+    _leave_out_rich()
+    return _run_daemon(path)
+
+
+def _leave_out_rich() -> None:
+    """Keep structlog from importing a library that a daemon has no use for.
+
+    It formats tracebacks for terminals and takes several megabytes.
+    """
+    sys.modules.setdefault("rich", None)  # type: ignore[arg-type]
+
+
+def _run_daemon(path: str) -> int:
+    import asyncio
+
+    import structlog
+    from returns.result import Failure, Success
+
+    from .daemon import Daemon
+    from .logs import configure_logs
+    from .settings import LogLevel, load_settings
+
     configure_logs(LogLevel.INFO)
     log = structlog.get_logger("balsamstream.daemon")
     match load_settings(path):
--- a/src/balsamstream/wire/packet.py
+++ b/src/balsamstream/wire/packet.py
@@ -25,7 +25,7 @@
 """A datagram is at most 65,507 bytes with all headers."""
 
 MOST_REASON_BYTES: Final = 64
-MOST_CACHED: Final = 16_384
+MOST_CACHED: Final = 8_192
 
 # type, kind, flags, hops, service, flow, request, deadline, view, data centres,
 # caller, via
