--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -86,8 +86,10 @@
     routing = network.agents["comptoir-0"].state.routing
     for port in range(40_000, 41_000):
         caller = Address("127.0.0.1", port)
-        ranked = routing.rank(compute_flow_key("comptoir", caller))
-        if [member.ref.name[-1] for member in ranked] == ["0", "1", "2"]:
+        flow = compute_flow_key("comptoir", caller)
+        ranked = [member.ref.name[-1] for member in routing.rank(flow)]
+        compared = [member.ref.name[-1] for member in routing.list_candidates(flow, 2)]
+        if ranked == ["0", "1", "2"] and compared == ["0", "1"]:
             break
     full = network.agents["comptoir-1"]
     assert full.state.admission is not None
@@ -98,6 +100,7 @@
     report_load(network, "comptoir-1", "comptoir-0", 9)
     balancer = network.balancers["balancer-1"].config.address
     owner = network.agents["comptoir-0"]
+    owner.state.flows.touch(compute_flow_key("other", caller), caller, caller, 0.0)
     address = owner.state.config.address
     for request in (1, 2):
         packet = build_packet(network, caller, request)
@@ -119,3 +122,27 @@
         network.send_request("balancer-1", "comptoir", caller, request)
         network.settle()
     assert 2 in {run.request for run in network.runs}
+
+
+def test_packets_that_waited_for_a_holder_follow_one_that_did_not() -> None:
+    network = build_network(2)
+    owner = network.agents["comptoir-0"]
+    address = owner.state.config.address
+    caller = find_caller(network, ["comptoir-0"], [owner.state.routing])
+    report_load(network, "comptoir-0", "comptoir-1", 9)
+    balancer = network.balancers["balancer-1"].config.address
+    network.carry_out(address, owner.ownership.start_sync(network.now))
+    reports, network.bag = network.bag, []
+    first = build_packet(network, caller, 1)
+    network.carry_out(address, owner.receive(balancer, first, network.now))
+    questions, network.bag = network.bag, reports
+    network.settle()
+    assert owner.ownership.is_synced
+    second = build_packet(network, caller, 2)
+    network.carry_out(address, owner.receive(balancer, second, network.now))
+    report_load(network, "comptoir-0", "comptoir-1", 0)
+    owner.state.flows.touch(compute_flow_key("x", caller), caller, caller, 0.0)
+    network.bag += questions
+    network.settle()
+    assert len(network.runs) == 2
+    assert len({run.host for run in network.runs}) == 1
