Send changes by half where they take too many fragments

Cause: 200 views of 1,000 members are far beyond what one burst of fragments may hold, so balancers with many services could never have caught up.

--- a/src/balsamstream/daemon/transport.py
+++ b/src/balsamstream/daemon/transport.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from balsamstream.core.identity import Address
+from balsamstream.core.message import Changes
 from balsamstream.kernel import Service
 from balsamstream.wire.codec import decode_message, encode_message
 from balsamstream.wire.error import MalformedMessage
@@ -109,7 +111,11 @@
         return self._socket.discard()
 
     def send(self, to: Address, message: Message) -> None:
-        """Send a message; one that can't be sent is counted."""
+        """Send a message; one that can't be sent is counted.
+
+        Changes that would take too many fragments lose their later half: the receiver
+        asks for the rest.
+        """
         try:
             data = encode_message(message)
             if len(data) <= MOST_DATAGRAM_BYTES or data[0] in _PACKET_PATH:
@@ -117,6 +123,10 @@
                 return
             self._send_fragments(to, data)
         except (MalformedMessage, OSError) as error:
+            shorter = halve_changes(message)
+            if shorter is not None:
+                self.send(to, shorter)
+                return
             self._metrics.note_loss("encode", error)
 
     def _send_fragments(self, to: Address, data: bytes) -> None:
@@ -152,8 +162,26 @@
         return address
 
 
+def halve_changes(message: Message) -> Changes | None:
+    """Return the earlier half of changes; nothing where there is none to give.
+
+    A full set can't be cut: what it lacks counts as deleted.
+    """
+    if not isinstance(message, Changes) or message.full:
+        return None
+    found = message.objects
+    half = len(found) // 2
+    while half and found[half - 1].version == found[half].version:
+        # Objects of one version are asked for together.
+        half -= 1
+    if half == 0:
+        return None
+    objects = found[:half]
+    return replace(message, objects=objects, up_to=objects[-1].version, more=True)
+
+
 def _convert_keys(keys: Sequence[KeySettings]) -> list[Key]:
     return [Key(key.id, key.secret) for key in keys]
 
 
-__all__ = ["Transport"]
+__all__ = ["Transport", "halve_changes"]
--- a/src/balsamstream/wire/fragment.py
+++ b/src/balsamstream/wire/fragment.py
@@ -16,7 +16,9 @@
 
 FRAGMENT_TYPE: Final = 4
 MOST_DATAGRAM_BYTES: Final = 1_200
-MOST_FRAGMENTS: Final = 256
+MOST_FRAGMENTS: Final = 96
+"""So many fit the default receive buffer of Linux twice."""
+
 MOST_PARTIAL_PER_SENDER: Final = 4
 MOST_SENDERS: Final = 64
 MOST_PARTIAL_BYTES: Final = 4_194_304
