Seal with the present second after a pause

Cause: what a process sent right after it stood still carried the second from before, and a receiver that had heard nothing from it meanwhile refused it as old.

tests/daemon/test_run.py: 10 passed.

--- a/src/balsamstream/daemon/role.py
+++ b/src/balsamstream/daemon/role.py
@@ -125,6 +125,8 @@
 
     def _handle_pause(self, gap_s: float) -> None:
         dropped = self.transport.discard() + self.discard_queued()
+        # What is sent next must not carry the second from before the pause.
+        self.transport.advance(self.clock.last.wall, self.clock.last.monotonic)
         self.log.warning("process_paused", gap_s=round(gap_s, 3), dropped=dropped)
         self.metrics.count("pauses")
         self.metrics.count("lost.paused", dropped)
--- a/tests/daemon/test_run.py
+++ b/tests/daemon/test_run.py
@@ -151,6 +151,25 @@
         running.wait_for_line("event=stop_hurried")
 
 
+@pytest.mark.parametrize("role", ROLES)
+def test_a_daemon_goes_on_after_a_pause_without_what_queued(
+    role: str, tmp_path: Path
+) -> None:
+    with closing(Processes(tmp_path)) as processes:
+        running = start_daemon(processes, tmp_path, role)
+        processes.pause("daemon")
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for _ in range(100):
+                sender.sendto(b"queued", running.address)
+        time.sleep(1.5)
+        processes.resume("daemon")
+        running.wait_for_line("event=process_paused")
+        counters = running.read_page("/status")["counters"]
+        assert counters["pauses"] == 1
+        assert counters["lost.paused"] == 100
+        assert "lost.seal_short" not in counters
+
+
 def test_wrong_settings_end_with_a_line_for_each_problem(tmp_path: Path) -> None:
     with closing(Processes(tmp_path)) as processes:
         path = tmp_path / "settings.yaml"
