Cut links between chosen daemons in process tests

Cause: kills and freezes do not show what a partition does. Loopback has no links to cut, so a stand-in runs the shipped daemon and drops by a file. Ruled out: network namespaces, which a fresh machine would have to install.

--- /dev/null
+++ b/standins/cut_daemon.py
@@ -0,0 +1,87 @@
+"""The daemon with links that can be cut: ``python -m standins.cut_daemon FILE ...``.
+
+Loopback has no links to cut, so the process drops by itself what the file names:
+lines ``to IP:PORT`` and ``from IP:PORT``. Everything else is the shipped daemon, which
+gets all further arguments.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Final
+
+from balsamstream.core.identity import Address, parse_address
+from balsamstream.daemon.run import run
+from balsamstream.daemon.transport import Transport
+
+if TYPE_CHECKING:
+    from balsamstream.core.message import Message
+
+READ_EVERY_S: Final = 0.05
+
+_Direction = tuple[str, Address]
+
+
+class Cuts:
+    """Links that are cut now, read again from the file at short intervals.
+
+    Parameters
+    ----------
+    path : Path
+        The file; without it nothing is cut.
+    """
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._cut: frozenset[_Direction] = frozenset()
+        self._next_read = 0.0
+
+    def is_cut(self, direction: str, address: Address) -> bool:
+        """Tell whether a link is cut in a direction, ``to`` or ``from``."""
+        now = time.monotonic()
+        if now >= self._next_read:
+            self._next_read = now + READ_EVERY_S
+            self._cut = self._read()
+        return (direction, address) in self._cut
+
+    def _read(self) -> frozenset[_Direction]:
+        try:
+            lines = self._path.read_text().splitlines()
+        except OSError:
+            return frozenset()
+        words = [line.split() for line in lines if line.strip()]
+        return frozenset(
+            (direction, parse_address(address)) for direction, address in words
+        )
+
+
+class CutTransport(Transport):
+    """Drops what goes to or comes from a cut link."""
+
+    cuts: Cuts
+
+    def send(self, to: Address, message: Message) -> None:
+        """Send a message, unless the link to its receiver is cut."""
+        if not self.cuts.is_cut("to", to):
+            super().send(to, message)
+
+    def _take(self, datagram: bytes, source: tuple[str, int]) -> None:
+        if not self.cuts.is_cut("from", Address(*source)):
+            super()._take(datagram, source)
+
+
+def main() -> None:
+    """Run the daemon with the cuts of a file."""
+    from balsamstream.daemon import daemon
+
+    CutTransport.cuts = Cuts(Path(sys.argv[1]))
+    daemon.Transport = CutTransport  # type: ignore[misc]
+    run(sys.argv[2:])
+
+
+if __name__ == "__main__":
+    main()
+
+__all__ = ["CutTransport", "Cuts", "main"]
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -64,6 +64,8 @@
         More arguments for each backend server.
     hints : int
         Bound of the balancers' hint tables.
+    has_cuts : bool
+        Whether links between daemons can be cut.
     """
 
     services: Mapping[str, Sequence[str]]
@@ -72,6 +74,7 @@
     slots: int = 2
     backend_options: Sequence[str] = ()
     hints: int = 100_000
+    has_cuts: bool = False
 
     @property
     def data_centres(self) -> list[str]:
@@ -239,6 +242,23 @@
         self.processes.start(name, all_arguments)
         self.processes.wait_ready(name)
 
+    def cut(self, name: str, *, to: Sequence[str], by: Sequence[str]) -> None:
+        """Cut a daemon's links, in place of those that were cut before.
+
+        Parameters
+        ----------
+        name : str
+            The daemon.
+        to, by : sequence of str
+            Daemons that it can't send to, and those that it does not hear.
+        """
+        lines = [f"to {self.daemons[other].address}" for other in to]
+        lines += [f"from {self.daemons[other].address}" for other in by]
+        path = self._name_cuts(name)
+        written = path.with_suffix(".new")
+        written.write_text("\n".join(lines))
+        written.rename(path)
+
     def control_fabric(self, path: str, body: Mapping[str, Any]) -> None:
         """Send an order to the fabric."""
         post_json(f"http://{self.fabric_control}{path}", body)
@@ -357,8 +377,13 @@
     def _start_daemon(self, name: str, settings: Mapping[str, Any]) -> None:
         path = self.directory / f"{name}.yaml"
         path.write_text(yaml.safe_dump(dict(settings)))
-        arguments = ["-m", "balsamstream.daemon.run", "--settings", str(path)]
-        self.processes.start(name, arguments)
+        program = ["-m", "balsamstream.daemon.run"]
+        if self.plan.has_cuts:
+            program = ["-m", "standins.cut_daemon", str(self._name_cuts(name))]
+        self.processes.start(name, [*program, "--settings", str(path)])
+
+    def _name_cuts(self, name: str) -> Path:
+        return self.directory / f"{name}.cuts"
 
 
 def name_backend(host: str) -> str:
--- a/tests/process/scene.py
+++ b/tests/process/scene.py
@@ -53,9 +53,9 @@
         """Start everything, and callers once both services answer."""
         fleet = self.fleet
         fleet.start_surroundings()
-        fleet.start_daemons()
         profiles = dict.fromkeys(fleet.plan.services, profile)
         fleet.operate("apply", str(fleet.write_configuration(profiles)))
+        fleet.start_daemons()
         wait_for_services(fleet.service_addresses)
         counter = fleet.service_addresses[COUNTER]
         fitting = fleet.service_addresses[FITTING]
@@ -81,6 +81,7 @@
     profile: Mapping[str, Any] | None = None,
     backend_options: Sequence[str] = ("--cold-s=1",),
     callers: Sequence[str] = CALLERS,
+    has_cuts: bool = False,
 ) -> Iterator[Scene]:
     """Run two services of three and two hosts behind three balancers."""
     hosts = [
@@ -96,6 +97,7 @@
         hosts=hosts,
         balancers={f"balancer-{number}": DATA_CENTRES[number] for number in range(3)},
         backend_options=backend_options,
+        has_cuts=has_cuts,
     )
     fleet = Fleet(directory, plan, seed=1)
     scene = Scene(fleet)
--- /dev/null
+++ b/tests/process/test_cuts.py
@@ -0,0 +1,47 @@
+"""Links cut between chosen daemons, one way and both."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from tests.process.scene import expect_sound, open_scene
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+ORDERS = ("--boards=6", "--baskets=24")
+CUT_S = 8.0
+
+
+def test_host_cut_off_from_all_voters_runs_no_order_twice(tmp_path: Path) -> None:
+    with open_scene(tmp_path, callers=ORDERS, has_cuts=True) as scene:
+        fleet = scene.fleet
+        others = ["counter-1", "counter-2"]
+        fleet.cut("counter-0", to=others, by=others)
+        time.sleep(CUT_S)
+        balancers = ["balancer-0", "balancer-1", "balancer-2"]
+        fleet.cut("counter-0", to=[*others, *balancers], by=[])
+        time.sleep(CUT_S)
+        fleet.cut("counter-0", to=[], by=[])
+        time.sleep(4.0)
+        figures = scene.finish()
+    expect_sound(figures)
+
+
+def test_link_cut_one_way_within_a_kill_crosses_and_doubles_nothing(
+    tmp_path: Path,
+) -> None:
+    with open_scene(tmp_path, callers=ORDERS, has_cuts=True) as scene:
+        fleet = scene.fleet
+        fleet.control_fabric("/duplicate", {"share": 0.3})
+        fleet.cut("balancer-0", to=["counter-1"], by=[])
+        fleet.cut("balancer-1", to=[], by=["counter-2"])
+        time.sleep(CUT_S / 2)
+        fleet.processes.kill("counter-0")
+        time.sleep(CUT_S)
+        fleet.cut("balancer-0", to=[], by=[])
+        fleet.cut("balancer-1", to=[], by=[])
+        time.sleep(3.0)
+        figures = scene.finish()
+    expect_sound(figures)
