--- a/src/balsamstream/core/ownership.py
+++ b/src/balsamstream/core/ownership.py
@@ -105,8 +105,15 @@
         return None if pinned is None else pinned.name
 
     def start_sync(self, now: float) -> list[Action]:
-        """Ask each reachable member for the flows of the buckets owned here."""
+        """Ask each reachable member for the flows of the buckets owned here.
+
+        What was placed in buckets owned no more is forgotten: their new owner may
+        place it anew, and by the time they come back it may be long wrong.
+        """
         me = self._state.config.ref
+        for flow in list(self._pins):
+            if flow not in self._acted and not self._owns(me, flow):
+                del self._pins[flow]
         self._reporting = {
             member.ref: _Reporting(member, now, now)
             for member in self._state.routing.reachable
--- a/tests/core/test_path.py
+++ b/tests/core/test_path.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from balsamstream.core.identity import Address
+from balsamstream.core.identity import Address, FlowKey, ProcessRef
 from balsamstream.core.message import RequestKind
 from balsamstream.core.verdict import NotRun
 from tests.core.network import Network
@@ -80,28 +80,70 @@
     assert admission.share == admission.profile.cold_start.initial_share
 
 
-def test_flows_elsewhere_stay_when_a_data_centre_returns() -> None:
+def build_two_data_centres() -> Network:
     network = Network()
     network.declare("comptoir", 5683)
     network.add_balancer("balancer-1")
     for number in range(4):
         data_centre = "thyna" if number % 2 else "medina"
         network.add_agent(f"comptoir-{number}", "comptoir", data_centre)
-    network.platform.put("DataCentre", "thyna", {"state": "out"})
-    network.pass_time(9.0)
-    callers = [Address("127.0.0.1", 43000 + number) for number in range(40)]
+    network.pass_time(6.0)
+    return network
+
+
+def send_round(network: Network, callers: list[Address], base: int) -> None:
     for number, caller in enumerate(callers):
-        network.send_request("balancer-1", "comptoir", caller, number + 1)
+        network.send_request("balancer-1", "comptoir", caller, base + number)
         network.settle()
-    network.pass_time(9.0)
-    before = {run.flow: run.host for run in network.runs}
+
+
+def find_hosts(network: Network) -> dict[FlowKey, ProcessRef]:
+    return {run.flow: run.host for run in network.runs}
+
+
+def expect_flows_to_stay_on_return(network: Network, callers: list[Address]) -> None:
+    before = find_hosts(network)
     network.platform.put("DataCentre", "thyna", {"state": "in"})
     network.runs.clear()
     for step in range(10):
         network.step()
-        for number, caller in enumerate(callers):
-            request = 1000 * (step + 1) + number
-            network.send_request("balancer-1", "comptoir", caller, request)
-            network.settle()
-    moved = [run for run in network.runs if before[run.flow] != run.host]
-    assert moved == []
+        send_round(network, callers, 10_000 * (step + 1))
+    assert [run for run in network.runs if before[run.flow] != run.host] == []
+
+
+def test_flows_elsewhere_stay_when_a_data_centre_returns() -> None:
+    network = build_two_data_centres()
+    network.platform.put("DataCentre", "thyna", {"state": "out"})
+    network.pass_time(9.0)
+    callers = [Address("127.0.0.1", 43000 + number) for number in range(40)]
+    send_round(network, callers, 1)
+    network.pass_time(9.0)
+    expect_flows_to_stay_on_return(network, callers)
+
+
+def test_returning_hosts_trust_no_placement_from_before() -> None:
+    network = build_two_data_centres()
+    callers = [Address("127.0.0.1", 44000 + number) for number in range(60)]
+    send_round(network, callers, 1)
+    network.platform.put("DataCentre", "thyna", {"state": "out"})
+    network.pass_time(3.0)
+    restarted = network.agents["comptoir-0"]
+    actions = restarted.notice_backend_refused(next(iter(restarted.state.flows)), 0.0)
+    network.carry_out(restarted.state.config.address, actions)
+    network.pass_time(1.0)
+    send_round(network, callers, 1_000)
+    network.pass_time(4.0)
+    send_round(network, callers, 2_000)
+    expect_flows_to_stay_on_return(network, callers)
+
+
+def test_host_that_lost_its_buckets_keeps_no_placement_of_theirs() -> None:
+    network = build_two_data_centres()
+    callers = [Address("127.0.0.1", 45000 + number) for number in range(60)]
+    send_round(network, callers, 1)
+    flows = [run.flow for run in network.runs]
+    owner = network.agents["comptoir-1"]
+    assert any(owner.ownership.find_pin(flow) for flow in flows)
+    network.platform.put("DataCentre", "thyna", {"state": "out"})
+    network.pass_time(3.0)
+    assert not any(owner.ownership.find_pin(flow) for flow in flows)
