Keep an operator's drain over silence and restarts of the host

A host's own graceful stop used the same state, so the two could not be told apart. Now the drain is a mark that only an operator or the host's leave clears, and a stopping host is 'leaving'. Ruled out: remembering it in the agent, which forgets on restart.

--- a/src/balsamstream/command/host.py
+++ b/src/balsamstream/command/host.py
@@ -51,7 +51,7 @@
     view: View, name: str, state: MemberState
 ) -> Result[ViewEdit | None, Fault]:
     member = view.find_member(name)
-    if member is None or member.state is MemberState.DOWN:
+    if member is None or member.state in (MemberState.DOWN, MemberState.LEAVING):
         what = "gone" if member is None else member.state.value
         line = f"host {name} is {what}, only an active or draining one can be changed"
         return Failure(Fault(ExitCode.CONFLICT, (line,)))
--- a/src/balsamstream/command/status.py
+++ b/src/balsamstream/command/status.py
@@ -59,7 +59,7 @@
                 str(item.spec.get("profile", "")),
                 str(view.spec.get("number", "")) if view else "",
                 str(states["active"]),
-                str(states["draining"]),
+                str(states["draining"] + states["leaving"]),
                 str(states["down"]),
                 str(sum(host.slots for host in members if host.state == "active")),
             )
--- a/src/balsamstream/core/catalogue.py
+++ b/src/balsamstream/core/catalogue.py
@@ -319,6 +319,7 @@
                 **_write_process(member.ref, member.address, member.data_centre),
                 "slots": member.slots,
                 "state": member.state.value,
+                **({"drained": True} if member.is_drained else {}),
             }
             for member in view.members
         ],
@@ -348,6 +349,7 @@
         entry["data_centre"],
         int(entry["slots"]),
         MemberState(entry["state"]),
+        bool(entry.get("drained", False)),
     )
 
 
--- a/src/balsamstream/core/membership.py
+++ b/src/balsamstream/core/membership.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from .message import EditView
-from .view import Join, Leave, Member, MemberState, SetState
+from .view import Join, Leave, Member, MemberState, Return, SetState
 
 if TYPE_CHECKING:
     from .message import Action
@@ -81,7 +81,7 @@
                 Member(config.ref, config.address, config.data_centre, config.slots)
             )
         if listed.state is MemberState.DOWN:
-            return SetState(config.ref, MemberState.ACTIVE)
+            return Return(config.ref)
         return None
 
     def _plan_leave(self, listed: Member | None, now: float) -> ViewEdit | None:
@@ -90,8 +90,8 @@
             self.drained = True
             return None
         if not self._has_finished(now):
-            if listed.state is MemberState.ACTIVE:
-                return SetState(ref, MemberState.DRAINING)
+            if listed.state in (MemberState.ACTIVE, MemberState.DRAINING):
+                return SetState(ref, MemberState.LEAVING)
             return None
         if self._leave_since is None:
             self._leave_since = now
--- a/src/balsamstream/core/view.py
+++ b/src/balsamstream/core/view.py
@@ -20,7 +20,11 @@
 
     ACTIVE = "active"
     DRAINING = "draining"
+    """An operator drains the host."""
+    LEAVING = "leaving"
+    """The host itself stops gracefully."""
     DOWN = "down"
+    """The other hosts hear nothing of it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +43,9 @@
         The host's weight: how many shares of work it bears.
     state : MemberState
         Whether new flows, held flows or nothing may go there.
+    is_drained : bool
+        An operator drained the host: it keeps to that over silence and restarts,
+        until it is undrained or has left.
     """
 
     ref: ProcessRef
@@ -46,6 +53,7 @@
     data_centre: str
     slots: int
     state: MemberState = MemberState.ACTIVE
+    is_drained: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +134,13 @@
     state: MemberState
 
 
+@dataclass(frozen=True, slots=True)
+class Return:
+    """A member that was marked down says that it runs."""
+
+    ref: ProcessRef
+
+
 @dataclass(frozen=True, slots=True)
 class Leave:
     """A member has finished its work and goes."""
@@ -147,7 +162,7 @@
     quarantine_s: float
 
 
-ViewEdit = Join | SetState | Leave | TrimVoterSets | ResetVoters
+ViewEdit = Join | SetState | Return | Leave | TrimVoterSets | ResetVoters
 
 
 def edit_view(view: View, edit: ViewEdit, spare_voters: Sequence[Voter] = ()) -> View:
@@ -179,10 +194,16 @@
     match edit:
         case Join(member):
             others = [known for known in members if known.ref.name != member.ref.name]
-            return tuple(sorted([*others, member], key=lambda known: known.ref))
+            joined = _keep_drained(member, members)
+            return tuple(sorted([*others, joined], key=lambda known: known.ref))
         case SetState(ref, state):
             return tuple(
-                replace(known, state=state) if known.ref == ref else known
+                _set_state(known, state) if known.ref == ref else known
+                for known in members
+            )
+        case Return(ref):
+            return tuple(
+                _return_member(known) if known.ref == ref else known
                 for known in members
             )
         case Leave(ref):
@@ -191,6 +212,29 @@
             return members
 
 
+def _keep_drained(joined: Member, members: tuple[Member, ...]) -> Member:
+    for known in members:
+        if known.ref.name == joined.ref.name and known.is_drained:
+            return replace(joined, state=MemberState.DRAINING, is_drained=True)
+    return joined
+
+
+def _set_state(member: Member, state: MemberState) -> Member:
+    match state:
+        case MemberState.ACTIVE | MemberState.DRAINING:
+            drained = state is MemberState.DRAINING
+            return replace(member, state=state, is_drained=drained)
+        case _:
+            return replace(member, state=state)
+
+
+def _return_member(member: Member) -> Member:
+    if member.state is not MemberState.DOWN:
+        return member
+    state = MemberState.DRAINING if member.is_drained else MemberState.ACTIVE
+    return replace(member, state=state)
+
+
 def _edit_voter_sets(
     sets: tuple[VoterSet, ...], edit: ViewEdit
 ) -> tuple[VoterSet, ...]:
@@ -270,6 +314,7 @@
     "Member",
     "MemberState",
     "ResetVoters",
+    "Return",
     "SetState",
     "TrimVoterSets",
     "View",
--- a/tests/command/test_operations.py
+++ b/tests/command/test_operations.py
@@ -37,6 +37,7 @@
             expected = build_view()
             expected["number"] = 8
             expected["members"][1]["state"] = "draining"
+            expected["members"][1]["drained"] = True
             assert await read_spec(client, Kind.VIEW, "comptoir") == expected
             again = await change_host(
                 client, "comptoir-2", MemberState.DRAINING, "comptoir"
