Take the setting 'locality' out: nothing carried it out

Cause: it was accepted and had no effect, which no operator expects. Ruled out for now: carrying it out, since packets do not tell the balancer's data centre.

--- a/src/balsamstream/command/show.py
+++ b/src/balsamstream/command/show.py
@@ -81,7 +81,7 @@
 
 
 _COLUMNS = {
-    Kind.PROFILE: ("requests", "deadline_ms", "choices", "locality"),
+    Kind.PROFILE: ("requests", "deadline_ms", "choices"),
     Kind.SERVICE: ("address", "profile", "protocol"),
     Kind.DATA_CENTRE: ("state",),
     Kind.VIEW: ("number", "hosts"),
--- a/src/balsamstream/config/objects.py
+++ b/src/balsamstream/config/objects.py
@@ -18,13 +18,6 @@
     NON_REPEATABLE = "non-repeatable"
 
 
-class Locality(enum.Enum):
-    """Whether new flows prefer hosts of the balancer's own data centre."""
-
-    NONE = "none"
-    PREFER = "prefer"
-
-
 class WorkClass(enum.Enum):
     """Classes of work that are shed separately."""
 
@@ -113,8 +106,6 @@
         Requests in flight that a host bears for each of its slots.
     choices : int
         Hosts compared by load for a new flow, 1 to 4.
-    locality : Locality
-        Whether new flows prefer the balancer's own data centre.
     cold_start : ColdStart
         How the limits of a host that has just started rise.
     drain_s : float
@@ -136,7 +127,6 @@
     flows_per_slot: int = 1_000
     in_flight_per_slot: int = 32
     choices: int = 2
-    locality: Locality = Locality.NONE
     cold_start: ColdStart = field(default_factory=ColdStart)
     drain_s: float = 60.0
     retry_budget: float = 0.1
@@ -194,7 +184,6 @@
     "ConfigObject",
     "DataCentre",
     "DataCentreState",
-    "Locality",
     "Objectives",
     "Profile",
     "Protocol",
--- a/src/balsamstream/config/schema.py
+++ b/src/balsamstream/config/schema.py
@@ -19,7 +19,6 @@
     ColdStart,
     DataCentre,
     DataCentreState,
-    Locality,
     Objectives,
     Profile,
     Protocol,
@@ -128,7 +127,6 @@
     flows_per_slot: Count = 1_000
     in_flight_per_slot: Count = 32
     choices: Annotated[int, Field(strict=True, ge=1, le=MOST_CHOICES)] = 2
-    locality: Locality = Locality.NONE
     cold_start: ColdStartModel = Field(default_factory=ColdStartModel)
     drain_s: Seconds = 60.0
     retry_budget: Share = 0.1
@@ -159,7 +157,6 @@
             flows_per_slot=self.flows_per_slot,
             in_flight_per_slot=self.in_flight_per_slot,
             choices=self.choices,
-            locality=self.locality,
             cold_start=self.cold_start.convert(),
             drain_s=self.drain_s,
             retry_budget=self.retry_budget,
