--- a/src/balsamstream/daemon/edge.py
+++ b/src/balsamstream/daemon/edge.py
@@ -10,7 +10,6 @@
 from balsamstream.core.routing import compute_flow_key
 from balsamstream.edge.protocols import find_protocol
 from balsamstream.edge.proxy_header import (
-    HEADER_BYTES,
     ProxyHeaderError,
     encode_header,
     split_datagram,
@@ -22,6 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from balsamstream.config.objects import Requests
     from balsamstream.core.catalogue import Catalogue, ServiceEntry
     from balsamstream.core.identity import FlowKey
     from balsamstream.core.message import RefuseCaller, ReturnToCaller
@@ -32,17 +32,16 @@
     from .settings import EdgeSettings
 
 MOST_FABRIC_ROUTES: Final = 65_536
-MOST_ROUTES: Final = 8_192
 
 
 @dataclass(frozen=True, slots=True)
 class _Route:
-    """What is known of a caller's datagrams from their PROXY header."""
+    """What each datagram to a service needs, without another look-up."""
 
     entry: ServiceEntry
-    flow: FlowKey
-    caller: Address
+    name: str
     protocol: EdgeProtocol
+    requests: Requests
 
 
 class DatagramTaker(Protocol):
@@ -83,7 +82,7 @@
         self._socket = DatagramSocket("edge", self.listen, take, metrics)
         self._fabric: tuple[str, int] | None = None
         self._fabric_by_caller: dict[Address, tuple[str, int]] = {}
-        self._routes: dict[bytes, _Route] = {}
+        self._routes: dict[Address, _Route] = {}
         self._addresses: dict[int, Address] = {}
         self._taker: DatagramTaker | None = None
         self._before_batch: Callable[[], None] | None = None
@@ -165,54 +164,43 @@
         self._socket.send(header + payload, fabric)
 
     def _take_relayed(self, datagram: bytes, source: tuple[str, int]) -> None:
-        header = datagram[:HEADER_BYTES]
-        route = self._routes.get(header)
-        if route is not None:
-            payload = datagram[HEADER_BYTES:]
-        else:
-            try:
-                endpoints, payload = split_datagram(datagram)
-            except ProxyHeaderError:
-                self.metrics.count("lost.proxy_header")
-                return
-            route = self._find_route(endpoints.destination, endpoints.source)
-            if route is None:
-                return
-            if len(datagram) - len(payload) == HEADER_BYTES:
-                self._note_route(header, route)
-        if source != self._fabric or self._fabric_by_caller:
-            self._note_fabric(route.caller, source)
-        self._take(route, payload)
+        try:
+            endpoints, payload = split_datagram(datagram)
+        except ProxyHeaderError:
+            self.metrics.count("lost.proxy_header")
+            return
+        caller = endpoints.source
+        if self._take(endpoints.destination, caller, payload) and (
+            source != self._fabric or self._fabric_by_caller
+        ):
+            self._note_fabric(caller, source)
 
     def _take_direct(self, datagram: bytes, source: tuple[str, int]) -> None:
-        route = self._find_route(self.listen, Address(*source))
-        if route is not None:
-            self._take(route, datagram)
-
-    def _take(self, route: _Route, payload: bytes) -> None:
-        classified = route.protocol.classify(
-            route.flow, payload, route.entry.profile.requests
-        )
+        self._take(self.listen, Address(*source), datagram)
+
+    def _take(self, service: Address, caller: Address, payload: bytes) -> bool:
+        route = self._routes.get(service) or self._find_route(service)
+        if route is None:
+            self.metrics.count("lost.unknown_service")
+            return False
+        entry = route.entry
+        flow = compute_flow_key(route.name, caller)
+        classified = route.protocol.classify(flow, payload, route.requests)
         if classified is None:
             self.metrics.count("lost.malformed")
-            return
+            return True
         if self._taker is not None:
-            self._taker.take_datagram(
-                route.entry, route.flow, route.caller, classified, payload
-            )
+            self._taker.take_datagram(entry, flow, caller, classified, payload)
+        return True
 
-    def _find_route(self, service: Address, caller: Address) -> _Route | None:
+    def _find_route(self, service: Address) -> _Route | None:
         entry = self._catalogue.find_service_by_address(service)
         if entry is None:
-            self.metrics.count("lost.unknown_service")
             return None
-        flow = compute_flow_key(entry.spec.name, caller)
-        return _Route(entry, flow, caller, find_protocol(entry.spec.protocol))
-
-    def _note_route(self, header: bytes, route: _Route) -> None:
-        if len(self._routes) >= MOST_ROUTES:
-            self._routes.clear()
-        self._routes[header] = route
+        protocol = find_protocol(entry.spec.protocol)
+        route = _Route(entry, entry.spec.name, protocol, entry.profile.requests)
+        self._routes[service] = route
+        return route
 
     def _note_fabric(self, caller: Address, source: tuple[str, int]) -> None:
         """Remember who relays for a caller, where there is more than one relay."""
--- a/src/balsamstream/edge/proxy_header.py
+++ b/src/balsamstream/edge/proxy_header.py
@@ -16,14 +16,13 @@
 _LENGTH: Final = struct.Struct("!H")
 _ADDRESSES_OFFSET: Final = len(_START) + _LENGTH.size
 HEADER_BYTES: Final = _ADDRESSES_OFFSET + _ADDRESSES.size
-MOST_CACHED: Final = 4_096
 
 
 class ProxyHeaderError(ValueError):
     """The datagram begins with no header of the expected form."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Endpoints:
     """Who sent a datagram to whom.
 
@@ -39,8 +38,8 @@
     destination: Address
 
 
-_endpoints_by_bytes: dict[bytes, Endpoints] = {}
-_header_by_pair: dict[tuple[Address, Address], bytes] = {}
+_PLAIN_START: Final = _START + _LENGTH.pack(_ADDRESSES.size)
+"""What a header without further fields begins with."""
 
 
 def encode_header(source: Address, destination: Address) -> bytes:
@@ -51,17 +50,9 @@
     OSError
         If an IP number is none of IPv4.
     """
-    header = _header_by_pair.get((source, destination))
-    if header is not None:
-        return header
-    addresses = _ADDRESSES.pack(
+    return _PLAIN_START + _ADDRESSES.pack(
         inet_aton(source.ip), inet_aton(destination.ip), source.port, destination.port
     )
-    header = _START + _LENGTH.pack(_ADDRESSES.size) + addresses
-    if len(_header_by_pair) >= MOST_CACHED:
-        _header_by_pair.clear()
-    _header_by_pair[source, destination] = header
-    return header
 
 
 def split_datagram(datagram: bytes) -> tuple[Endpoints, bytes]:
@@ -78,20 +69,12 @@
     end = _ADDRESSES_OFFSET + length
     if length < _ADDRESSES.size or len(datagram) < end:
         raise ProxyHeaderError("cut short")
-    packed = datagram[_ADDRESSES_OFFSET:HEADER_BYTES]
-    endpoints = _endpoints_by_bytes.get(packed) or _read_endpoints(packed)
-    return endpoints, datagram[end:]
-
-
-def _read_endpoints(packed: bytes) -> Endpoints:
-    source_ip, ip, source_port, port = _ADDRESSES.unpack(packed)
+    fields = _ADDRESSES.unpack_from(datagram, _ADDRESSES_OFFSET)
+    source_ip, ip, source_port, port = fields
     endpoints = Endpoints(
         Address(inet_ntoa(source_ip), source_port), Address(inet_ntoa(ip), port)
     )
-    if len(_endpoints_by_bytes) >= MOST_CACHED:
-        _endpoints_by_bytes.clear()
-    _endpoints_by_bytes[packed] = endpoints
-    return endpoints
+    return endpoints, datagram[end:]
 
 
 __all__ = [
--- a/src/balsamstream/wire/packet.py
+++ b/src/balsamstream/wire/packet.py
@@ -25,21 +25,23 @@
 """A datagram is at most 65,507 bytes with all headers."""
 
 MOST_REASON_BYTES: Final = 64
-MOST_CACHED: Final = 8_192
+MOST_CACHED: Final = 4_096
+"""Balancers and versions are few; callers are many and not kept."""
+
 
 # type, kind, flags, hops, service, flow, request, deadline, view, data centres,
 # caller, via
-_PACKET: Final = struct.Struct("!BBBBQQQIIQ6s6s")
+_PACKET: Final = struct.Struct("!BBBBQQQIIQ4sH6s")
 # type, service, flow, view, data centres, caller
-_ANSWER: Final = struct.Struct("!BQQIQ6s")
+_ANSWER: Final = struct.Struct("!BQQIQ4sH")
 # an answer's fields, may have run, retry after in seconds, length of the reason
-_REFUSAL: Final = struct.Struct("!BQQIQ6sBdB")
+_REFUSAL: Final = struct.Struct("!BQQIQ4sHBdB")
 _VERSION: Final = struct.Struct("!IQ")
 
 # The same layouts with both parts of the version as one key of its cache.
-_PACKET_READ: Final = struct.Struct("!BBBBQQQI12s6s6s")
-_ANSWER_READ: Final = struct.Struct("!BQQ12s6s")
-_REFUSAL_READ: Final = struct.Struct("!BQQ12s6sBdB")
+_PACKET_READ: Final = struct.Struct("!BBBBQQQI12s4sH6s")
+_ANSWER_READ: Final = struct.Struct("!BQQ12s4sH")
+_REFUSAL_READ: Final = struct.Struct("!BQQ12s4sHBdB")
 
 _KINDS: Final = tuple(RequestKind)
 _FLAGS: Final = tuple(PacketFlag(bits) for bits in range(4))
@@ -75,8 +77,9 @@
             packet.deadline_ms,
             version.view,
             version.data_centres,
-            _bytes_by_address.get(caller) or _pack_address(caller),
-            _bytes_by_address.get(via) or _pack_address(via),
+            inet_aton(caller.ip),
+            caller.port,
+            _bytes_by_address.get(via) or _pack_via(via),
         )
     except (struct.error, OSError) as error:
         raise MalformedMessage("packet-field") from error
@@ -102,14 +105,15 @@
             request,
             deadline_ms,
             version,
-            caller,
+            caller_ip,
+            caller_port,
             via,
         ) = _PACKET_READ.unpack_from(data)
         return Packet(
             service,
             flow,
-            _address_by_bytes.get(caller) or _read_address(caller),
-            _address_by_bytes.get(via) or _read_address(via),
+            Address(inet_ntoa(caller_ip), caller_port),
+            _address_by_bytes.get(via) or _read_via(via),
             _version_by_bytes.get(version) or _read_version(version),
             _KINDS[kind],
             request,
@@ -139,7 +143,8 @@
             answer.flow,
             answer.version.view,
             answer.version.data_centres,
-            _bytes_by_address.get(answer.caller) or _pack_address(answer.caller),
+            inet_aton(answer.caller.ip),
+            answer.caller.port,
         )
     except (struct.error, OSError) as error:
         raise MalformedMessage("answer-field") from error
@@ -155,13 +160,13 @@
         If the bytes are no answer.
     """
     try:
-        _, service, flow, version, caller = _ANSWER_READ.unpack_from(data)
+        _, service, flow, version, ip, port = _ANSWER_READ.unpack_from(data)
     except struct.error as error:
         raise MalformedMessage("answer") from error
     return Answer(
         service,
         FlowKey(flow),
-        _address_by_bytes.get(caller) or _read_address(caller),
+        Address(inet_ntoa(ip), port),
         _version_by_bytes.get(version) or _read_version(version),
         data[_ANSWER.size :],
     )
@@ -191,7 +196,8 @@
             refusal.flow,
             refusal.version.view,
             refusal.version.data_centres,
-            _pack_address(refusal.caller),
+            inet_aton(refusal.caller.ip),
+            refusal.caller.port,
             may_have_run,
             retry_after_s,
             len(text),
@@ -213,7 +219,7 @@
         fields = _REFUSAL_READ.unpack_from(data)
     except struct.error as error:
         raise MalformedMessage("refusal") from error
-    _, service, flow, version, caller, may_have_run, retry, size = fields
+    _, service, flow, version, ip, port, may_have_run, retry, size = fields
     end = _REFUSAL.size + size
     finite = 0.0 <= retry < float("inf")
     if size > MOST_REASON_BYTES or len(data) < end or may_have_run > 1 or not finite:
@@ -222,14 +228,14 @@
     return Refusal(
         service,
         FlowKey(flow),
-        _read_address(caller),
+        Address(inet_ntoa(ip), port),
         _read_version(version),
         MayHaveRun(reason) if may_have_run else NotRun(retry, reason),
         data[end:],
     )
 
 
-def _pack_address(address: Address) -> bytes:
+def _pack_via(address: Address) -> bytes:
     packed = _bytes_by_address.get(address)
     if packed is None:
         packed = inet_aton(address.ip) + struct.pack("!H", address.port)
@@ -238,7 +244,7 @@
     return packed
 
 
-def _read_address(packed: bytes) -> Address:
+def _read_via(packed: bytes) -> Address:
     address = _address_by_bytes.get(packed)
     if address is None:
         address = Address(inet_ntoa(packed[:4]), int.from_bytes(packed[4:], "big"))
