Let a deletion reach processes that hear of it from others only

Causes, found by the model of configuration: a process that listed the platform knows no deletion from before, yet told others that nothing was missing, so they kept the deleted object for ever; and a late, older list brought back an object that its receiver had never held. A process now answers askers from before its list with everything it has, limited to the service asked about, and takes no unknown object below the version that it is complete to. Not covered: an asker from before a list that is longer than one part.

Also: count no member's word on a flow while its report is due.

--- a/model/claims.py
+++ b/model/claims.py
@@ -646,7 +646,8 @@
         "claims: a voter restarts and joins again",
         **{
             **ONE_CHANGE,
-            "claimants": "ac",
+            "claimants": "a",
+            "refusers": "B",
             "granted": "ab",
             "edits": (_REJOIN_B,),
             "restartable": "b",
--- /dev/null
+++ b/model/configuration.py
@@ -0,0 +1,201 @@
+"""Model of configuration: watchers, peers, restarts, two writers, lost answers."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any, Final, NamedTuple
+
+from balsamstream.core.catalogue import Catalogue
+from balsamstream.core.message import Changes, ChangesAsk, ConfigObject
+
+from .state import Memory, freeze
+
+WRITES: Final[tuple[tuple[str, str, dict[str, Any] | None], ...]] = (
+    ("DataCentre", "medina", {"state": "out"}),
+    ("Profile", "counter", {}),
+    ("DataCentre", "medina", {"state": "in"}),
+    ("Profile", "counter", None),
+)
+"""Two writers in turn; a write that is repeated after a lost answer is a new version."""
+
+PROCESSES: Final = 3
+SKIPPED: Final = frozenset({"_by_number", "_by_address"})
+
+
+class State(NamedTuple):
+    """One state: versions written, catalogues, and messages by their numbers."""
+
+    written: int
+    catalogues: tuple[int, ...]
+    highest: tuple[tuple[tuple[str, int], ...], ...]
+    mail: int
+    restarts: int
+
+
+class ConfigurationModel:
+    """All ways in which a few writes reach three processes."""
+
+    name = "configuration: writes, lists, watches and peers"
+    bounds = (
+        f"{PROCESSES} processes, {len(WRITES)} writes with one deletion, 1 restart, "
+        "each list, watch event and answer of a peer at any time and again"
+    )
+
+    def __init__(self) -> None:
+        self._memory = Memory(SKIPPED)
+        self._mails: list[tuple[int, Changes]] = []
+        self._numbers: dict[Any, int] = {}
+
+    def start(self) -> State:
+        """Return the state in which nothing is written."""
+        empty = self._memory.number(Catalogue())
+        highest: tuple[tuple[tuple[str, int], ...], ...] = ((),) * PROCESSES
+        return State(0, (empty,) * PROCESSES, highest, 0, 0)
+
+    def judge(self, state: State) -> str | None:
+        """Return the property that a state breaks."""
+        for position, number in enumerate(state.catalogues):
+            catalogue = self._memory.get(number)
+            held = _list_versions(catalogue)
+            for name, version in state.highest[position]:
+                if held.get(name, 0) < version:
+                    return f"process {position} fell below version {version} of {name}"
+            missing = self._find_missing(catalogue)
+            if missing is not None:
+                return f"process {position} holds {missing}"
+        return None
+
+    def expand(self, state: State) -> Iterator[tuple[str, State]]:
+        """Return each possible step."""
+        if state.written < len(WRITES):
+            kind, name, _ = WRITES[state.written]
+            yield f"write {kind} {name}", state._replace(written=state.written + 1)
+        for position in range(PROCESSES):
+            yield from self._read_platform(state, position)
+            yield from self._ask_peers(state, position)
+            if state.restarts:
+                continue
+            fresh = self._memory.number(Catalogue())
+            restarted = self._replace(state, position, fresh)
+            highest = (
+                *state.highest[:position],
+                (),
+                *state.highest[position + 1 :],
+            )
+            yield (
+                f"process {position} restarts",
+                restarted._replace(restarts=1, highest=highest),
+            )
+        for number in range(state.mail.bit_length()):
+            if state.mail >> number & 1:
+                position, changes = self._mails[number]
+                yield from self._take(state, position, changes, f"late {changes}")
+
+    def describe(self, label: str) -> str:
+        """Return a step as text."""
+        return label
+
+    def _read_platform(
+        self, state: State, position: int
+    ) -> Iterator[tuple[str, State]]:
+        have = self._memory.get(state.catalogues[position]).complete_to
+        listed = _list_platform(state.written)
+        full = Changes(0, state.written, True, False, listed)
+        yield from self._send(state, position, full, "list")
+        if have >= state.written:
+            return
+        kind, name, spec = WRITES[have]
+        event = (ConfigObject(kind, name, have + 1, spec),)
+        watched = Changes(have, have + 1, False, False, event)
+        yield from self._send(state, position, watched, "watch")
+
+    def _ask_peers(self, state: State, position: int) -> Iterator[tuple[str, State]]:
+        have = self._memory.get(state.catalogues[position]).complete_to
+        for peer in range(PROCESSES):
+            if peer == position:
+                continue
+            answer = self._memory.get(state.catalogues[peer]).answer(
+                ChangesAsk(have)
+            )
+            yield from self._send(state, position, answer, f"peer {peer}")
+
+    def _send(
+        self, state: State, position: int, changes: Changes, source: str
+    ) -> Iterator[tuple[str, State]]:
+        """Give a message now, or keep it on its way."""
+        label = f"{source} to process {position}: {changes}"
+        yield from self._take(state, position, changes, label)
+        key = (position, freeze(changes))
+        number = self._numbers.setdefault(key, len(self._mails))
+        if number == len(self._mails):
+            self._mails.append((position, changes))
+        if state.mail.bit_count() < 1:
+            yield f"delayed: {label}", state._replace(mail=state.mail | 1 << number)
+
+    def _take(
+        self, state: State, position: int, changes: Changes, label: str
+    ) -> Iterator[tuple[str, State]]:
+        def accept(catalogue: Catalogue) -> None:
+            catalogue.accept(changes)
+
+        before = state.catalogues[position]
+        key = freeze(changes)
+        known = self._memory.find(before, key)
+        after, _ = known or self._memory.step(before, key, accept)
+        if after == before:
+            return
+        reached = self._replace(state, position, after)
+        versions = dict(state.highest[position])
+        for name, version in _list_versions(self._memory.get(after)).items():
+            versions[name] = max(version, versions.get(name, 0))
+        highest = (
+            *state.highest[:position],
+            tuple(sorted(versions.items())),
+            *state.highest[position + 1 :],
+        )
+        yield label, reached._replace(highest=highest)
+
+    def _replace(self, state: State, position: int, number: int) -> State:
+        catalogues = state.catalogues
+        changed = (*catalogues[:position], number, *catalogues[position + 1 :])
+        return state._replace(catalogues=changed)
+
+    def _find_missing(self, catalogue: Catalogue) -> str | None:
+        """Return an object older than what the catalogue calls complete."""
+        newest: dict[tuple[str, str], tuple[int, bool]] = {}
+        for number, (kind, name, spec) in enumerate(WRITES[: catalogue.complete_to]):
+            newest[(kind, name)] = (number + 1, spec is not None)
+        for key, (version, exists) in newest.items():
+            held = catalogue._objects.get(key)
+            if held is None and exists:
+                return f"no {key} and is complete to {catalogue.complete_to}"
+            if held is None:
+                continue
+            if held.version < version and (exists or held.spec is not None):
+                return (
+                    f"{key} of version {held.version} and is complete to "
+                    f"{catalogue.complete_to}"
+                )
+        return None
+
+
+def _list_platform(written: int) -> tuple[ConfigObject, ...]:
+    found: dict[tuple[str, str], ConfigObject] = {}
+    for number, (kind, name, spec) in enumerate(WRITES[:written]):
+        found.pop((kind, name), None)
+        if spec is not None:
+            found[(kind, name)] = ConfigObject(kind, name, number + 1, spec)
+    return tuple(found.values())
+
+
+def _list_versions(catalogue: Catalogue) -> dict[str, int]:
+    versions = {
+        f"{found.kind} {found.name}": found.version
+        for found in catalogue._objects.values()
+    }
+    versions["complete"] = catalogue.complete_to
+    versions["data centres"] = catalogue.data_centres_version
+    return versions
+
+
+__all__ = ["ConfigurationModel", "State"]
--- a/model/state.py
+++ b/model/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import copy
+import pickle
 from collections.abc import Callable, Mapping
 from dataclasses import fields, is_dataclass
 from enum import Enum
@@ -78,6 +78,7 @@
         self._project = project
         self._numbers: dict[Frozen, int] = {}
         self._live: list[Any] = []
+        self._copies: dict[int, bytes] = {}
         self._steps: dict[tuple[int, Any], tuple[int, Any]] = {}
 
     def number(self, process: Any) -> int:
@@ -100,11 +101,17 @@
 
     def step(self, number: int, key: Any, act: Callable[[Any], Any]) -> tuple[int, Any]:
         """Return the next state and what the step gave out."""
-        process = copy.deepcopy(self._live[number])
+        process = pickle.loads(self._copy(number))
         given = act(process)
         result = (self.number(process), given)
         self._steps[(number, key)] = result
         return result
 
+    def _copy(self, number: int) -> bytes:
+        known = self._copies.get(number)
+        if known is None:
+            known = self._copies[number] = pickle.dumps(self._live[number], -1)
+        return known
+
 
 __all__ = ["FixedRandom", "Frozen", "Memory", "freeze"]
--- a/src/balsamstream/core/catalogue.py
+++ b/src/balsamstream/core/catalogue.py
@@ -66,6 +66,7 @@
     def __init__(self, service: str = "") -> None:
         self.service = service
         self.complete_to = 0
+        self._listed_to = 0
         self.rejected = 0
         self.balancers_changed = 0
         self._objects: OrderedDict[tuple[str, str], ConfigObject] = OrderedDict()
@@ -138,22 +139,31 @@
         taken = [found for found in changes.objects if self._accept_object(found)]
         if changes.full and changes.up_to >= self.complete_to:
             taken.extend(self._drop_missing(changes))
+            # A list does not name what was deleted before it.
+            self._listed_to = max(self._listed_to, changes.up_to)
         same_part = changes.service in ("", self.service)
         if same_part and (changes.full or changes.since <= self.complete_to):
             self.complete_to = max(self.complete_to, changes.up_to)
         return taken
 
     def answer(self, ask: ChangesAsk) -> Changes:
-        """Gather what an asker lacks, oldest first, a bounded part at a time."""
+        """Gather what an asker lacks, oldest first, a bounded part at a time.
+
+        An asker from before the last list gets everything, so that it sees what was
+        deleted; only where that is more than one part, deletions may be missing.
+        """
         wanted = sorted(
             (found for found in self._objects.values() if self._concerns(found, ask)),
             key=lambda found: found.version,
         )
+        service = ask.service or self.service
+        if ask.have < self._listed_to and len(wanted) <= OBJECTS_PER_REPLY:
+            return Changes(0, self.complete_to, True, False, tuple(wanted), service)
         later = [found for found in wanted if found.version > ask.have]
         part = tuple(later[:OBJECTS_PER_REPLY])
         more = len(later) > len(part)
         up_to = part[-1].version if more else self.complete_to
-        return Changes(ask.have, up_to, False, more, part, ask.service or self.service)
+        return Changes(ask.have, up_to, False, more, part, service)
 
     def _concerns(self, found: ConfigObject, ask: ChangesAsk) -> bool:
         if not ask.service:
@@ -167,6 +177,9 @@
         known = self._objects.get(key)
         if known is not None and known.version >= found.version:
             return False
+        if known is None and found.version <= self.complete_to:
+            # Nothing is missing up to there, so it was deleted since.
+            return False
         if not self._apply(found):
             self.rejected += 1
             return False
@@ -175,10 +188,13 @@
 
     def _drop_missing(self, changes: Changes) -> list[ConfigObject]:
         present = {(found.kind, found.name) for found in changes.objects}
+        scope = ChangesAsk(0, changes.service)
         dropped: list[ConfigObject] = []
         for key, known in list(self._objects.items()):
             if key in present or known.spec is None or known.version > changes.up_to:
                 continue
+            if not self._concerns(known, scope):
+                continue
             gone = ConfigObject(known.kind, known.name, changes.up_to, None)
             self._apply(gone)
             self._objects[key] = gone
--- a/src/balsamstream/core/ownership.py
+++ b/src/balsamstream/core/ownership.py
@@ -144,6 +144,9 @@
         if holder is not None:
             self._pin(reply.flow, holder.ref)
             return self._release(reply.flow, now)
+        if reply.member in self._reporting:
+            # It may still route by the older view and be given the flow after this.
+            return []
         asked.awaited.discard(reply.member)
         if asked.awaited:
             return []
@@ -192,11 +195,19 @@
             return []
         if not reply.more or not reply.flows:
             del self._reporting[reply.holder]
+            self._await_no_more(reply.holder, now)
             return []
         owed.after = reply.flows[-1]
         owed.asked = now
         return [self._ask_report(owed)]
 
+    def _await_no_more(self, member: ProcessRef, now: float) -> None:
+        """Let flows be decided on whose last word was a member's whole report."""
+        for asked in self._asked.values():
+            asked.awaited.discard(member)
+            if not asked.awaited:
+                asked.until = now
+
     def tick(self, now: float) -> tuple[list[Placement], list[Action]]:
         """Repeat questions, and decide without members that do not answer."""
         actions: list[Action] = []
