--- /dev/null
+++ b/model/guards.py
@@ -0,0 +1,232 @@
+"""The protocol's guards and the text that takes each one out."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+CLAIM: Final = "balsamstream.core.claim"
+SINGLE_RUN: Final = "balsamstream.core.single_run"
+OWNERSHIP: Final = "balsamstream.core.ownership"
+CATALOGUE: Final = "balsamstream.core.catalogue"
+AGENT: Final = "balsamstream.core.agent"
+VIEW: Final = "balsamstream.core.view"
+REFUSAL: Final = "balsamstream.core.refusal"
+
+TWO_COPIES: Final = "claims: two copies"
+REFUSING: Final = "claims: a copy and a refusal"
+RESTARTS: Final = "claims: a voter restarts"
+ASLEEP: Final = "claims: a voter drains, the winner asleep"
+DRAINS: Final = "claims: two voters drain"
+BALANCER: Final = "claims: a copy and a balancer's refusal"
+CONFIGURATION: Final = "configuration: writes, lists, watches and peers"
+JOINS: Final = "flows: a host joins"
+LATE: Final = "flows: a host joins, both packets late"
+OWNER_DRAINS: Final = "flows: the owner drains"
+
+
+@dataclass(frozen=True)
+class Guard:
+    """One guard.
+
+    Parameters
+    ----------
+    module : str
+        Module that has it.
+    text, without : str
+        Source of the guard, found once, and what stands there without it.
+    model : str
+        Model that must find the fault.
+    """
+
+    name: str
+    module: str
+    text: str
+    without: str
+    model: str
+
+
+GUARDS: Final = (
+    Guard(
+        "majority of voters",
+        VIEW,
+        "return len(self.voters) // 2 + 1",
+        "return 1",
+        TWO_COPIES,
+    ),
+    Guard(
+        "first claimant is kept",
+        CLAIM,
+        "        if known is None:\n            if len(",
+        "        if True:\n            if len(",
+        TWO_COPIES,
+    ),
+    Guard(
+        "refusal is a claim",
+        SINGLE_RUN,
+        "        record = _Record(packet, Stage.CLAIMING, now, now)\n",
+        "        record = _Record(packet, Stage.CLAIMING, now, now)\n"
+        "        if not admitted:\n"
+        "            self._records[packet.request] = record\n"
+        '            return self._mark_refused(record, "")\n',
+        REFUSING,
+    ),
+    Guard(
+        "balancer refuses after a majority only",
+        REFUSAL,
+        "            case Refused():\n",
+        "            case _ if True:\n",
+        BALANCER,
+    ),
+    Guard(
+        "claim given up never runs",
+        SINGLE_RUN,
+        '                actions += self._leave_unknown(record, "no majority of voters")',
+        '                actions += self._mark_refused(record, "")\n'
+        "                self._claiming[record.packet.request] = record\n"
+        "                record.round = ClaimRound(\n"
+        "                    self._state.config.service, record.packet.request,\n"
+        "                    self._state.config.ref, \n"
+        "                    self._state.routing.view.voter_sets[-1])",
+        TWO_COPIES,
+    ),
+    Guard(
+        "incarnation of a voter",
+        CLAIM,
+        "listed = any(voter.ref == reply.voter for voter in self.voters.voters)",
+        "listed = True",
+        RESTARTS,
+    ),
+    Guard(
+        "incarnation at the voter",
+        CLAIM,
+        "return any(voter.ref == self.me for voter in voter_set.voters)",
+        "return any(v.ref.name == self.me.name for v in voter_set.voters)",
+        RESTARTS,
+    ),
+    Guard(
+        "voter seals earlier epochs",
+        CLAIM,
+        "        if ask.epoch < self.sealed_below or ask.epoch != newest:\n",
+        "        if False:\n",
+        ASLEEP,
+    ),
+    Guard(
+        "epoch of a vote",
+        CLAIM,
+        "if not listed or reply.epoch != self.voters.epoch:",
+        "if not listed:",
+        ASLEEP,
+    ),
+    Guard(
+        "activation waits for seals",
+        CLAIM,
+        "            if not self._is_sealed(earlier):\n                return\n",
+        "            pass\n",
+        ASLEEP,
+    ),
+    Guard(
+        "majority of each earlier set seals",
+        CLAIM,
+        "return sealed >= earlier.majority",
+        "return sealed >= 1",
+        ASLEEP,
+    ),
+    Guard(
+        "claims are handed over",
+        CLAIM,
+        "            self._merge(request, holder, now)\n",
+        "            pass\n",
+        ASLEEP,
+    ),
+    Guard(
+        "trim waits for activation",
+        CLAIM,
+        "        if self.active_epoch != newest.epoch:\n            return None\n"
+        "        active = {self.me}",
+        "        active = {v.ref for v in newest.voters}",
+        DRAINS,
+    ),
+    Guard(
+        "version compare",
+        CATALOGUE,
+        "if known is not None and known.version >= found.version:",
+        "if False:",
+        CONFIGURATION,
+    ),
+    Guard(
+        "no unknown object below the complete version",
+        CATALOGUE,
+        "if known is None and found.version <= self.complete_to:",
+        "if False:",
+        CONFIGURATION,
+    ),
+    Guard(
+        "whole answer after a list",
+        CATALOGUE,
+        "if ask.have < self._listed_to and",
+        "if False and",
+        CONFIGURATION,
+    ),
+    Guard(
+        "gap check of changes",
+        CATALOGUE,
+        "(changes.full or changes.since <= self.complete_to)",
+        "True",
+        CONFIGURATION,
+    ),
+    Guard(
+        "service check at the agent",
+        AGENT,
+        "if packet.service != state.number:",
+        "if False:",
+        OWNER_DRAINS,
+    ),
+    Guard(
+        "reports before new flows",
+        OWNERSHIP,
+        "if acting or not self.is_synced or packet.flow in self._asked:",
+        "if acting:",
+        JOINS,
+    ),
+    Guard(
+        "report waits for the routing",
+        OWNERSHIP,
+        "        if not state.routing.version.covers(ask.version):\n"
+        "            return None\n",
+        "",
+        LATE,
+    ),
+    Guard(
+        "word of a member whose report is due",
+        OWNERSHIP,
+        "if reply.member in self._reporting:",
+        "if False:",
+        JOINS,
+    ),
+    Guard(
+        "late placement goes to the owner",
+        OWNERSHIP,
+        "return not packet.version.covers(self._state.routing.version)",
+        "return False",
+        JOINS,
+    ),
+    Guard(
+        "packets that wait for a holder stay together",
+        OWNERSHIP,
+        "            if flow in self._state.flows:\n"
+        "                placements.append(Placement(packet, Place.TAKE))\n"
+        "                continue\n",
+        "",
+        OWNER_DRAINS,
+    ),
+    Guard(
+        "hop limit",
+        AGENT,
+        "if packet.hops >= MOST_HOPS:",
+        "if False:",
+        OWNER_DRAINS,
+    ),
+)
+
+__all__ = ["GUARDS", "Guard"]
--- /dev/null
+++ b/model/mutants.py
@@ -0,0 +1,96 @@
+"""Take each guard out and see the model find the fault: ``make model-mutants``."""
+
+from __future__ import annotations
+
+import importlib.abc
+import importlib.machinery
+import importlib.util
+import sys
+from collections.abc import Sequence
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
+from pathlib import Path
+from types import CodeType, ModuleType
+from typing import TYPE_CHECKING, Final
+
+from .guards import GUARDS, Guard
+
+if TYPE_CHECKING:
+    from .search import Outcome
+
+MOST_S: Final = 60.0
+WORKERS: Final = 3
+
+
+class GuardNotFound(LookupError):
+    """The text of a guard stands nowhere, or twice, in its module."""
+
+
+class _MutantLoader(importlib.machinery.SourceFileLoader):
+    """Loads a module without one guard."""
+
+    def __init__(self, guard: Guard, path: str) -> None:
+        super().__init__(guard.module, path)
+        self._guard = guard
+
+    def get_code(self, fullname: str) -> CodeType:
+        """Compile the changed source; the cache of compiled modules is left out."""
+        source = Path(self.path).read_text()
+        if source.count(self._guard.text) != 1:
+            raise GuardNotFound(self._guard.name)
+        changed = source.replace(self._guard.text, self._guard.without)
+        return compile(changed, self.path, "exec", dont_inherit=True)
+
+
+class _MutantFinder(importlib.abc.MetaPathFinder):
+    """Finds the module without its guard before all others."""
+
+    def __init__(self, guard: Guard) -> None:
+        self._guard = guard
+
+    def find_spec(
+        self,
+        fullname: str,
+        path: Sequence[str] | None,
+        target: ModuleType | None = None,
+    ) -> importlib.machinery.ModuleSpec | None:
+        """Return the changed module's spec, and none for any other."""
+        if fullname != self._guard.module:
+            return None
+        spec = importlib.machinery.PathFinder.find_spec(fullname, path)
+        if spec is None or spec.origin is None:
+            return None
+        loader = _MutantLoader(self._guard, spec.origin)
+        return importlib.util.spec_from_loader(fullname, loader, origin=spec.origin)
+
+
+def check_without(number: int) -> Outcome:
+    """Search the model of one guard without it; needs a process of its own."""
+    guard = GUARDS[number]
+    sys.meta_path.insert(0, _MutantFinder(guard))
+    from .run import check
+
+    outcome, _ = check(guard.model, MOST_S)
+    return outcome
+
+
+def run() -> int:
+    """Search without each guard in turn."""
+    missed = 0
+    context = get_context("spawn")
+    with ProcessPoolExecutor(
+        WORKERS, mp_context=context, max_tasks_per_child=1
+    ) as pool:
+        for guard, outcome in zip(GUARDS, pool.map(check_without, range(len(GUARDS)))):
+            verdict = f"caught: {outcome.broken}" if outcome.broken else "MISSED"
+            missed += not outcome.broken
+            print(f"without {guard.name} ({outcome.model}): {verdict}")
+            for step, label in enumerate(outcome.trace, start=1):
+                print(f"  {step}. {label[:300]}")
+            sys.stdout.flush()
+    print(f"{len(GUARDS)} guards, {missed} missed")
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(run())
--- /dev/null
+++ b/model/run.py
@@ -0,0 +1,79 @@
+"""Check the core protocol within stated bounds: ``make model``."""
+
+from __future__ import annotations
+
+import sys
+import time
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from multiprocessing import get_context
+from typing import Any, Final
+
+from .claims import SCENARIOS, ClaimModel
+from .configuration import ConfigurationModel
+from .flows import CHANGES, FlowModel
+from .search import Outcome, search
+
+MOST_S: Final = 140.0
+"""Longest search of one model, in seconds."""
+
+WORKERS: Final = 3
+
+
+def list_models() -> list[str]:
+    """Return the names of all models."""
+    return [
+        ConfigurationModel.name,
+        *(change.name for change in CHANGES),
+        *(bounds.name for bounds in SCENARIOS),
+    ]
+
+
+def build_model(name: str) -> Any:
+    """Build a model by its name."""
+    for bounds in SCENARIOS:
+        if bounds.name == name:
+            return ClaimModel(bounds)
+    for change in CHANGES:
+        if change.name == name:
+            return FlowModel(change)
+    return ConfigurationModel()
+
+
+def check(name: str, most_s: float = MOST_S) -> tuple[Outcome, str]:
+    """Search one model; return what was seen and within what bounds."""
+    model = build_model(name)
+    outcome = search(model, most_s)
+    outcome.trace = [model.describe(label) for label in outcome.trace]
+    return outcome, model.bounds
+
+
+def show(outcome: Outcome, bounds: str) -> bool:
+    """Print what a search saw; tell whether it was whole and nothing was broken."""
+    state = "whole" if outcome.finished else "NOT WHOLE"
+    if outcome.broken:
+        state = f"BROKEN: {outcome.broken}"
+    print(
+        f"{outcome.model}\n  {outcome.states} states, {outcome.steps} steps, "
+        f"depth {outcome.depth}, {outcome.seconds:.1f} s, {state}\n  bounds: {bounds}",
+        flush=True,
+    )
+    for number, step in enumerate(outcome.trace, start=1):
+        print(f"  {number}. {step}", flush=True)
+    return outcome.finished and not outcome.broken
+
+
+def run() -> int:
+    """Search all models, a few at a time."""
+    began = time.monotonic()
+    sound = True
+    with ProcessPoolExecutor(WORKERS, mp_context=get_context("spawn")) as pool:
+        searches = [pool.submit(check, name) for name in list_models()]
+        for found in as_completed(searches):
+            sound = show(*found.result()) and sound
+    verdict = "all whole and sound" if sound else "FAILED"
+    print(f"{len(searches)} models, {time.monotonic() - began:.0f} s: {verdict}")
+    return 0 if sound else 1
+
+
+if __name__ == "__main__":
+    sys.exit(run())
