--- a/model/claims.py
+++ b/model/claims.py
@@ -46,7 +46,7 @@
     edit_view,
 )
 
-from .state import FixedRandom, Memory, freeze
+from .state import FixedRandom, Frozen, Memory, freeze
 
 SERVICE: Final = "comptoir"
 CALLER: Final = Address("caller", 1)
@@ -117,6 +117,8 @@
         Replies that are always lost, as they change no decision but to ask again.
     voters : int
         Voters in each set.
+    progress : bool
+        Whether to ask of each state if the newest voters can still become active.
     """
 
     name: str
@@ -134,6 +136,7 @@
     granted: str = ""
     lost: frozenset[ClaimOutcome] = frozenset()
     voters: int = 3
+    progress: bool = False
 
     def describe(self) -> str:
         """Return the bounds that differ from the defaults."""
@@ -267,6 +270,8 @@
 
     def judge(self, state: State) -> str | None:
         """Return the property that a state breaks."""
+        if self._bounds.progress:
+            return self.find_stuck(state)
         for request in self._requests:
             runs = [ref for run, ref in state.ran if run == request]
             if len(runs) > 1:
@@ -335,7 +340,7 @@
         return self._memory.number(host)
 
     def _run(
-        self, before: int, position: int, key: Any, act: Act
+        self, before: int, position: int, key: Frozen, act: Act
     ) -> tuple[int, Effect]:
         known = self._memory.find(before, key)
         if known is not None:
@@ -349,7 +354,7 @@
         return self._memory.step(before, key, run)
 
     def _step(
-        self, state: State, position: int, label: str, key: Any, act: Act
+        self, state: State, position: int, label: str, key: Frozen, act: Act
     ) -> Iterator[tuple[str, State]]:
         result = self._run(state.processes[position], position, key, act)
         yield from self._reach(state, position, label, result)
@@ -431,14 +436,19 @@
 
     def _adopt(self, state: State, position: int) -> Iterator[tuple[str, State]]:
         for number in state.views:
-            view = self._views[number]
-            yield from self._step(
-                state,
-                position,
-                f"{self._names[position]} adopts view {view.number}",
-                ("view", number),
-                lambda process, view=view: _take_view(process, view),
-            )
+            yield from self._adopt_one(state, position, number)
+
+    def _adopt_one(
+        self, state: State, position: int, number: int
+    ) -> Iterator[tuple[str, State]]:
+        view = self._views[number]
+        yield from self._step(
+            state,
+            position,
+            f"{self._names[position]} adopts view {view.number}",
+            ("view", number),
+            lambda process: _take_view(process, view),
+        )
 
     def _refuse_at_balancer(
         self, state: State, position: int
@@ -558,22 +568,27 @@
 
     def _run_fair(self, state: State) -> State:
         for position in range(len(self._bounds.hosts)):
-            for _, state in self._adopt(state, position):
-                pass
-            for _, state in self._step(
+            for view in state.views:
+                state = _take_last(state, self._adopt_one(state, position, view))
+            steps = self._step(
                 state, position, "", "tick", lambda process: process.voter.tick(0.0)
-            ):
-                pass
+            )
+            state = _take_last(state, steps)
         for number in range(state.mail.bit_length()):
             if not state.mail >> number & 1:
                 continue
             if not isinstance(self._mails[number].message, (SealAsk, SealReply)):
                 continue
-            for _, state in self._deliver(state, number):
-                pass
+            state = _take_last(state, self._deliver(state, number))
         return state
 
 
+def _take_last(state: State, steps: Iterator[tuple[str, State]]) -> State:
+    for _, reached in steps:
+        return reached
+    return state
+
+
 def _take_view(process: Process, view: View) -> list[Action]:
     if isinstance(process, Refuser):
         if view.number > process.view.number:
@@ -661,6 +676,21 @@
             "hosts": "abc",
         },
     ),
+    Bounds(
+        "progress: a voter drains while another restarts",
+        hosts="abcd",
+        claimants="",
+        edits=(_DRAIN_A,),
+        most_changes=1,
+        restartable="b",
+        restarts=1,
+        trims=True,
+        progress=True,
+    ),
+    Bounds(
+        "progress: two voters drain",
+        **{**TWO_CHANGES, "claimants": "", "granted": "", "progress": True},
+    ),
 )
 
 __all__ = ["SCENARIOS", "Bounds", "ClaimModel", "State"]
--- a/model/configuration.py
+++ b/model/configuration.py
@@ -2,21 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-from typing import Any, Final, NamedTuple
+from typing import TYPE_CHECKING, Any, Final, NamedTuple
 
 from balsamstream.core.catalogue import Catalogue
 from balsamstream.core.message import Changes, ChangesAsk, ConfigObject
 
 from .state import Memory, freeze
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 WRITES: Final[tuple[tuple[str, str, dict[str, Any] | None], ...]] = (
     ("DataCentre", "medina", {"state": "out"}),
     ("Profile", "counter", {}),
     ("DataCentre", "medina", {"state": "in"}),
     ("Profile", "counter", None),
 )
-"""Two writers in turn; a write that is repeated after a lost answer is a new version."""
+"""Two writers in turn; a write repeated after a lost answer is one more version."""
 
 PROCESSES: Final = 2
 SKIPPED: Final = frozenset({"_by_number", "_by_address"})
--- a/model/flows.py
+++ b/model/flows.py
@@ -7,9 +7,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
-from typing import Any, Final, NamedTuple
+from typing import TYPE_CHECKING, Any, Final, NamedTuple
 
 from balsamstream.core.agent import MOST_HOPS, AgentDecisions
 from balsamstream.core.catalogue import read_view
@@ -35,6 +34,9 @@
 
 from .state import FixedRandom, Memory, freeze
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Sequence
+
 SERVICE: Final = "comptoir"
 OTHER: Final = "etiquettes"
 SKIPPED: Final = frozenset({"_state", "_budget"})
@@ -237,7 +239,7 @@
         kinds = (Packet, ReportAsk, ReportReply, HolderAsk, HolderReply)
         return to in self._addresses and isinstance(message, kinds)
 
-    def _number_mail(self, sender: Address, position: int, message: Any) -> int:
+    def _number_mail(self, sender: Address, position: int, message: Message) -> int:
         key = (sender, position, freeze(message))
         number = self._numbers.setdefault(key, len(self._mails))
         if number == len(self._mails):
--- a/model/guards.py
+++ b/model/guards.py
@@ -81,8 +81,8 @@
     Guard(
         "claim given up never runs",
         SINGLE_RUN,
-        '                actions += self._leave_unknown(record, "no majority of voters")',
-        '                actions += self._mark_refused(record, "")\n'
+        'actions += self._leave_unknown(record, "no majority of voters")',
+        'actions += self._mark_refused(record, "")\n'
         "                self._claiming[record.packet.request] = record\n"
         "                record.round = ClaimRound(\n"
         "                    self._state.config.service, record.packet.request,\n"
--- a/model/mutants.py
+++ b/model/mutants.py
@@ -6,23 +6,24 @@
 import importlib.machinery
 import importlib.util
 import sys
-from collections.abc import Sequence
 from concurrent.futures import ProcessPoolExecutor
 from multiprocessing import get_context
 from pathlib import Path
-from types import CodeType, ModuleType
 from typing import TYPE_CHECKING, Final
 
 from .guards import GUARDS, Guard
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from types import CodeType, ModuleType
+
     from .search import Outcome
 
 MOST_S: Final = 60.0
 WORKERS: Final = 3
 
 
-class GuardNotFound(LookupError):
+class GuardNotFoundError(LookupError):
     """The text of a guard stands nowhere, or twice, in its module."""
 
 
@@ -37,7 +38,7 @@
         """Compile the changed source; the cache of compiled modules is left out."""
         source = Path(self.path).read_text()
         if source.count(self._guard.text) != 1:
-            raise GuardNotFound(self._guard.name)
+            raise GuardNotFoundError(self._guard.name)
         changed = source.replace(self._guard.text, self._guard.without)
         return compile(changed, self.path, "exec", dont_inherit=True)
 
--- a/model/run.py
+++ b/model/run.py
@@ -6,7 +6,7 @@
 import time
 from concurrent.futures import ProcessPoolExecutor, as_completed
 from multiprocessing import get_context
-from typing import Any, Final
+from typing import Final
 
 from .claims import SCENARIOS, ClaimModel
 from .configuration import ConfigurationModel
@@ -28,7 +28,7 @@
     ]
 
 
-def build_model(name: str) -> Any:
+def build_model(name: str) -> ClaimModel | FlowModel | ConfigurationModel:
     """Build a model by its name."""
     for bounds in SCENARIOS:
         if bounds.name == name:
--- a/model/search.py
+++ b/model/search.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Hashable, Iterator
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Hashable, Iterator
 
 
 class Model(Protocol):
--- a/model/state.py
+++ b/model/state.py
@@ -12,6 +12,10 @@
 PLAIN: Final = (int, float, str, bytes, bool, type(None))
 
 Frozen = Any
+"""A value that compares by what it was made from."""
+
+Process = Any
+"""A live object of a model."""
 
 
 class FixedRandom(Random):
@@ -22,7 +26,7 @@
         return a
 
 
-def freeze(found: Any, skipped: frozenset[str] = frozenset()) -> Frozen:
+def freeze(found: object, skipped: frozenset[str] = frozenset()) -> Frozen:
     """Return a hashable value that is equal for equal states.
 
     Parameters
@@ -81,7 +85,7 @@
         self._copies: dict[int, bytes] = {}
         self._steps: dict[tuple[int, Any], tuple[int, Any]] = {}
 
-    def number(self, process: Any) -> int:
+    def number(self, process: Process) -> int:
         """Return the number of a process state; the object must not change later."""
         key = freeze(self._project(process), self._skipped)
         known = self._numbers.get(key)
@@ -91,15 +95,17 @@
         self._live.append(process)
         return len(self._live) - 1
 
-    def get(self, number: int) -> Any:
+    def get(self, number: int) -> Process:
         """Return the object of a state, for reading."""
         return self._live[number]
 
-    def find(self, number: int, key: Any) -> tuple[int, Any] | None:
+    def find(self, number: int, key: Frozen) -> tuple[int, Any] | None:
         """Return what a step led to, if it was taken before."""
         return self._steps.get((number, key))
 
-    def step(self, number: int, key: Any, act: Callable[[Any], Any]) -> tuple[int, Any]:
+    def step(
+        self, number: int, key: Frozen, act: Callable[[Process], Any]
+    ) -> tuple[int, Any]:
         """Return the next state and what the step gave out."""
         process = pickle.loads(self._copy(number))
         given = act(process)
--- a/tests/fuzz/oracle.py
+++ b/tests/fuzz/oracle.py
@@ -42,7 +42,7 @@
 
 
 def check_host(agent: AgentDecisions, in_hand: int, most_limit: int) -> None:
-    """A host is given nothing while out, and never more than it bears.
+    """Check that a host is not out and has no more than it bears.
 
     Parameters
     ----------
