--- a/model/guards.py
+++ b/model/guards.py
@@ -164,8 +164,8 @@
     Guard(
         "whole answer after a list",
         CATALOGUE,
-        "if ask.have < self._listed_to and",
-        "if False and",
+        "and ask.have < self._listed_to:",
+        "and False:",
         CONFIGURATION,
     ),
     Guard(
--- a/src/balsamstream/core/ownership.py
+++ b/src/balsamstream/core/ownership.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, Final
 
 from .budget import RetryBudget
-from .load import estimate_load
+from .load import FULL, estimate_load
 from .message import (
     Count,
     HolderAsk,
@@ -105,8 +105,15 @@
         return None if pinned is None else pinned.name
 
     def start_sync(self, now: float) -> list[Action]:
-        """Ask each reachable member for the flows of the buckets owned here."""
+        """Ask each reachable member for the flows of the buckets owned here.
+
+        What was placed in buckets owned no more is forgotten: their new owner may
+        place it anew, and by the time they come back it may be long wrong.
+        """
         me = self._state.config.ref
+        for flow in list(self._pins):
+            if flow not in self._acted and not self._owns(me, flow):
+                del self._pins[flow]
         self._reporting = {
             member.ref: _Reporting(member, now, now)
             for member in self._state.routing.reachable
@@ -276,18 +283,18 @@
     def _pass_refused(self, packet: Packet, now: float) -> Placement:
         """Try one more host, within the profile's budget of retries."""
         best: Member | None = None
-        best_load = 1.0
+        best_load = FULL
         for member in self._state.routing.rank(packet.flow):
             if member.ref == self._state.config.ref:
                 continue
             load = self._estimate(member, now)
-            if load is None or load > best_load:
+            if load is None or load >= best_load:
                 continue
             best, best_load = member, load
         if best is None or not self._budget.take():
             return Placement(packet, Place.REFUSE, (Count("placed_refused"),))
         self._pin(packet.flow, best.ref)
-        self._state.loads.count_placed(best.ref.name)
+        self._state.loads.count_placed(best.ref.name, now)
         passed = self._pass(packet, best, PacketFlag.PLACED, "placed_again")
         return replace(passed, actions=(*passed.actions, *self._tell_pin(packet.flow)))
 
@@ -393,10 +400,10 @@
             return Placement(packet, Place.REFUSE)
         self._budget.add(profile.retry_budget)
         best: Member | None = None
-        best_load = 1.0
-        for member in state.routing.rank(packet.flow)[: profile.choices]:
+        best_load = FULL
+        for member in state.routing.list_candidates(packet.flow, profile.choices):
             load = self._estimate(member, now)
-            if load is None or load > best_load or (best and load == best_load):
+            if load is None or load >= best_load:
                 continue
             best, best_load = member, load
         if best is None:
@@ -406,7 +413,7 @@
         if best.ref == state.config.ref:
             return Placement(packet, Place.TAKE)
         self._pin(packet.flow, best.ref)
-        state.loads.count_placed(best.ref.name)
+        state.loads.count_placed(best.ref.name, now)
         return self._pass(packet, best, PacketFlag.PLACED, "placed_elsewhere")
 
     def _estimate(self, member: Member, now: float) -> float | None:
@@ -418,9 +425,9 @@
             return None
         limits = admission.limits
         return estimate_load(
-            len(state.flows) + 1,
+            len(state.flows),
             limits.flows,
-            admission.in_flight + 1,
+            admission.in_flight,
             limits.in_flight,
         )
 
--- a/src/balsamstream/daemon/edge.py
+++ b/src/balsamstream/daemon/edge.py
@@ -32,7 +32,7 @@
     from .settings import EdgeSettings
 
 MOST_FABRIC_ROUTES: Final = 65_536
-MOST_ROUTES: Final = 16_384
+MOST_ROUTES: Final = 8_192
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +111,10 @@
         """Close the socket."""
         self._socket.close()
 
+    def show_counts(self) -> None:
+        """Add what was received and sent to the counters."""
+        self._socket.show_counts()
+
     def discard(self) -> int:
         """Drop what is queued in the socket; return how many datagrams."""
         return self._socket.discard()
