--- a/src/balsamstream/daemon/edge.py
+++ b/src/balsamstream/daemon/edge.py
@@ -13,6 +13,7 @@
     ProxyHeaderError,
     encode_header,
     split_datagram,
+    unpack_address,
 )
 from balsamstream.kernel import Service
 
@@ -82,7 +83,7 @@
         self._socket = DatagramSocket("edge", self.listen, take, metrics)
         self._fabric: tuple[str, int] | None = None
         self._fabric_by_caller: dict[Address, tuple[str, int]] = {}
-        self._routes: dict[Address, _Route] = {}
+        self._routes: dict[bytes, _Route] = {}
         self._addresses: dict[int, Address] = {}
         self._taker: DatagramTaker | None = None
         self._before_batch: Callable[[], None] | None = None
@@ -165,42 +166,41 @@
 
     def _take_relayed(self, datagram: bytes, source: tuple[str, int]) -> None:
         try:
-            endpoints, payload = split_datagram(datagram)
+            caller, service, payload = split_datagram(datagram)
         except ProxyHeaderError:
             self.metrics.count("lost.proxy_header")
             return
-        caller = endpoints.source
-        if self._take(endpoints.destination, caller, payload) and (
-            source != self._fabric or self._fabric_by_caller
-        ):
+        route = self._routes.get(service)
+        if route is None:
+            route = self._find_route(unpack_address(service))
+            if route is None:
+                return
+            self._routes[service] = route
+        if source != self._fabric or self._fabric_by_caller:
             self._note_fabric(caller, source)
+        self._take(route, caller, payload)
 
     def _take_direct(self, datagram: bytes, source: tuple[str, int]) -> None:
-        self._take(self.listen, Address(*source), datagram)
+        route = self._find_route(self.listen)
+        if route is not None:
+            self._take(route, Address(*source), datagram)
 
-    def _take(self, service: Address, caller: Address, payload: bytes) -> bool:
-        route = self._routes.get(service) or self._find_route(service)
-        if route is None:
-            self.metrics.count("lost.unknown_service")
-            return False
-        entry = route.entry
+    def _take(self, route: _Route, caller: Address, payload: bytes) -> None:
         flow = compute_flow_key(route.name, caller)
         classified = route.protocol.classify(flow, payload, route.requests)
         if classified is None:
             self.metrics.count("lost.malformed")
-            return True
+            return
         if self._taker is not None:
-            self._taker.take_datagram(entry, flow, caller, classified, payload)
-        return True
+            self._taker.take_datagram(route.entry, flow, caller, classified, payload)
 
     def _find_route(self, service: Address) -> _Route | None:
         entry = self._catalogue.find_service_by_address(service)
         if entry is None:
+            self.metrics.count("lost.unknown_service")
             return None
         protocol = find_protocol(entry.spec.protocol)
-        route = _Route(entry, entry.spec.name, protocol, entry.profile.requests)
-        self._routes[service] = route
-        return route
+        return _Route(entry, entry.spec.name, protocol, entry.profile.requests)
 
     def _note_fabric(self, caller: Address, source: tuple[str, int]) -> None:
         """Remember who relays for a caller, where there is more than one relay."""
--- a/src/balsamstream/edge/proxy_header.py
+++ b/src/balsamstream/edge/proxy_header.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 import struct
-from dataclasses import dataclass
 from socket import inet_aton, inet_ntoa
-from typing import Final
+from typing import Final, NamedTuple
 
 from balsamstream.core.identity import Address
 
@@ -13,6 +12,7 @@
 _PROXY_INET_DATAGRAM: Final = b"\x21\x12"
 _START: Final = _SIGNATURE + _PROXY_INET_DATAGRAM
 _ADDRESSES: Final = struct.Struct("!4s4sHH")
+_PACKED: Final = struct.Struct("!4s4sH2s")
 _LENGTH: Final = struct.Struct("!H")
 _ADDRESSES_OFFSET: Final = len(_START) + _LENGTH.size
 HEADER_BYTES: Final = _ADDRESSES_OFFSET + _ADDRESSES.size
@@ -22,20 +22,22 @@
     """The datagram begins with no header of the expected form."""
 
 
-@dataclass(slots=True)
-class Endpoints:
-    """Who sent a datagram to whom.
+class RelayedDatagram(NamedTuple):
+    """A caller's datagram as a fabric relays it.
 
     Parameters
     ----------
-    source : Address
-        The sender: a caller, or a service for an answer.
-    destination : Address
-        The receiver.
+    caller : Address
+        Who sent it.
+    service : bytes
+        Address that it was sent to, packed: 4 bytes and 2 bytes.
+    payload : bytes
+        The datagram itself.
     """
 
-    source: Address
-    destination: Address
+    caller: Address
+    service: bytes
+    payload: bytes
 
 
 _PLAIN_START: Final = _START + _LENGTH.pack(_ADDRESSES.size)
@@ -55,32 +57,45 @@
     )
 
 
-def split_datagram(datagram: bytes) -> tuple[Endpoints, bytes]:
-    """Split a datagram into the endpoints of its header and the payload.
+def split_datagram(datagram: bytes) -> RelayedDatagram:
+    """Split a datagram into its header's addresses and the payload.
 
     Raises
     ------
     ProxyHeaderError
         If the header is missing, cut short, of another family or a local one.
     """
+    end = HEADER_BYTES
+    if len(datagram) < end or not datagram.startswith(_PLAIN_START):
+        end = _find_end(datagram)
+    caller_ip, service_ip, caller_port, service_port = _PACKED.unpack_from(
+        datagram, _ADDRESSES_OFFSET
+    )
+    caller = Address(inet_ntoa(caller_ip), caller_port)
+    return RelayedDatagram(caller, service_ip + service_port, datagram[end:])
+
+
+def unpack_address(packed: bytes) -> Address:
+    """Read an address of 4 bytes and 2 bytes."""
+    return Address(inet_ntoa(packed[:4]), int.from_bytes(packed[4:], "big"))
+
+
+def _find_end(datagram: bytes) -> int:
+    """Find the end of a header that may have further fields."""
     if not datagram.startswith(_START) or len(datagram) < HEADER_BYTES:
         raise ProxyHeaderError("no header of UDP over IPv4")
-    (length,) = _LENGTH.unpack_from(datagram, len(_START))
+    length = int.from_bytes(datagram[len(_START) : _ADDRESSES_OFFSET], "big")
     end = _ADDRESSES_OFFSET + length
     if length < _ADDRESSES.size or len(datagram) < end:
         raise ProxyHeaderError("cut short")
-    fields = _ADDRESSES.unpack_from(datagram, _ADDRESSES_OFFSET)
-    source_ip, ip, source_port, port = fields
-    endpoints = Endpoints(
-        Address(inet_ntoa(source_ip), source_port), Address(inet_ntoa(ip), port)
-    )
-    return endpoints, datagram[end:]
+    return end
 
 
 __all__ = [
     "HEADER_BYTES",
-    "Endpoints",
     "ProxyHeaderError",
+    "RelayedDatagram",
     "encode_header",
     "split_datagram",
+    "unpack_address",
 ]
--- a/tests/daemon/test_edge.py
+++ b/tests/daemon/test_edge.py
@@ -22,7 +22,7 @@
 from balsamstream.daemon.edge import Edge
 from balsamstream.daemon.settings import EdgeSettings
 from balsamstream.edge.coap_message import MessageType, build_message, parse_head
-from balsamstream.edge.proxy_header import Endpoints, encode_header, split_datagram
+from balsamstream.edge.proxy_header import encode_header, split_datagram
 from tests.daemon.sockets import (
     find_free_address,
     ignore_batch,
@@ -104,10 +104,7 @@
                 assert taker.taken == [(SERVICE, flow, CALLER, kind, DATAGRAM)]
                 edge.return_answer(ReturnToCaller(NUMBER, CALLER, b"answer"))
                 datagram, _ = await receive(fabric)
-                assert split_datagram(datagram) == (
-                    Endpoints(ADDRESS, CALLER),
-                    b"answer",
-                )
+                assert datagram == encode_header(ADDRESS, CALLER) + b"answer"
 
     asyncio.run(run())
 
@@ -151,7 +148,7 @@
                 verdict = NotRun(2.0, "full")
                 edge.refuse(RefuseCaller(NUMBER, CALLER, verdict, DATAGRAM))
                 datagram, _ = await receive(fabric)
-                head = parse_head(split_datagram(datagram)[1])
+                head = parse_head(split_datagram(datagram).payload)
                 assert head is not None
                 assert (head.code, head.token) == (0xA3, b"token")
 
--- a/tests/edge/test_proxy_header.py
+++ b/tests/edge/test_proxy_header.py
@@ -9,10 +9,10 @@
 from balsamstream.core.identity import Address
 from balsamstream.edge.proxy_header import (
     HEADER_BYTES,
-    Endpoints,
     ProxyHeaderError,
     encode_header,
     split_datagram,
+    unpack_address,
 )
 
 CALLER = Address("192.0.2.7", 40_000)
@@ -26,16 +26,20 @@
     )
 
 
-def test_a_datagram_is_split_into_endpoints_and_payload() -> None:
+def test_a_datagram_is_split_into_addresses_and_payload() -> None:
     datagram = encode_header(CALLER, SERVICE) + b"payload"
-    assert split_datagram(datagram) == (Endpoints(CALLER, SERVICE), b"payload")
+    relayed = split_datagram(datagram)
+    assert (relayed.caller, relayed.payload) == (CALLER, b"payload")
+    assert unpack_address(relayed.service) == SERVICE
 
 
 def test_further_fields_are_skipped() -> None:
     header = bytearray(encode_header(CALLER, SERVICE))
     header[15] += 4
     datagram = bytes(header) + b"\x04\x00\x01\x00payload"
-    assert split_datagram(datagram) == (Endpoints(CALLER, SERVICE), b"payload")
+    relayed = split_datagram(datagram)
+    assert (relayed.caller, relayed.payload) == (CALLER, b"payload")
+    assert unpack_address(relayed.service) == SERVICE
 
 
 @pytest.mark.parametrize("size", range(HEADER_BYTES))
