Keep pins where a packet was passed on too often

Pins that name each other are still ended where a placement comes back to its sender; tests/core/test_placement.py passes.

--- a/src/balsamstream/core/agent.py
+++ b/src/balsamstream/core/agent.py
@@ -245,7 +245,6 @@
             passed = replace(packet, hops=packet.hops + 1)
             return [*actions, Send(predecessor, passed)]
         if packet.hops >= MOST_HOPS:
-            self.ownership.forget_pin(packet.flow)
             return actions + self._refuse(packet, "too many hops", now)
         return actions + self._carry_out(self.ownership.place(packet, sender, now), now)
 
