--- a/bench/run.py
+++ b/bench/run.py
@@ -8,7 +8,7 @@
 import time
 from typing import TYPE_CHECKING, Any, Final
 
-from . import broken, cold, control, imbalance, outage, packets, spread
+from . import broken, cold, control, imbalance, outage, packets, settings, spread
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -21,6 +21,7 @@
     "packets": packets.measure,
     "control": control.measure,
     "spread": spread.measure,
+    "settings": settings.measure,
 }
 
 
