--- a/bench/run.py
+++ b/bench/run.py
@@ -8,7 +8,7 @@
 import time
 from typing import TYPE_CHECKING, Any, Final
 
-from . import broken, cold, control, imbalance, outage, packets, settings, spread
+from . import broken, cold, control, imbalance, outage, packets, settings, spread, whole
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -19,6 +19,7 @@
     "cold": cold.measure,
     "outage": outage.measure,
     "packets": packets.measure,
+    "whole": whole.measure,
     "control": control.measure,
     "spread": spread.measure,
     "settings": settings.measure,
--- /dev/null
+++ b/bench/whole.py
@@ -0,0 +1,187 @@
+"""Case 5, whole path: the daemon's edge, decisions and transport on real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import statistics
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+from balsamstream.config import Address as ConfigAddress
+from balsamstream.core.identity import Address, ProcessRef
+from balsamstream.core.message import Send
+from balsamstream.daemon.edge import Edge
+from balsamstream.daemon.metrics import Metrics
+from balsamstream.daemon.settings import EdgeSettings, Key
+from balsamstream.daemon.transport import Transport
+from balsamstream.edge.coap_message import MessageType, build_message
+from balsamstream.edge.proxy_header import encode_header
+from balsamstream.kernel import Kernel
+
+from .packets import (
+    BATCH,
+    BATCHES,
+    FLOW_COUNTS,
+    PAYLOAD_BYTES,
+    ROUNDS,
+    Loopback,
+    Rig,
+    build_bare,
+    time_relay,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from balsamstream.core.catalogue import ServiceEntry
+    from balsamstream.core.identity import FlowKey
+    from balsamstream.core.message import Message
+    from balsamstream.edge.protocol import Classified
+
+SERVICE_ADDRESS: Final = Address("127.0.0.1", 5683)
+TOKEN: Final = b"token"
+GET: Final = 1
+
+
+class Balancer:
+    """The daemon's parts for callers' datagrams, without platform and status.
+
+    Parameters
+    ----------
+    rig : Rig
+        Holds the decisions.
+    """
+
+    def __init__(self, rig: Rig) -> None:
+        self.decisions = rig.balancer
+        self.done = asyncio.Event()
+        self._left = 0
+        metrics = Metrics(Kernel(), None, "bench")
+        ref = ProcessRef("balancer-1", 1)
+        key = Key(1, bytes(32))
+        self.transport = Transport(ref, find_free_address(), [key], metrics)
+        self.transport.connect(_ignore_message, _ignore_batch)
+        settings = EdgeSettings(ConfigAddress(*find_free_address()))
+        self.edge = Edge(settings, rig.balancer.catalogue, metrics)
+        self.edge.connect(self, _ignore_batch)
+
+    async def start(self) -> None:
+        """Bind the sockets."""
+        await self.transport.start()
+        await self.edge.start()
+
+    async def close(self) -> None:
+        """Close the sockets."""
+        await self.edge.close()
+        await self.transport.close()
+
+    def expect(self, datagrams: int) -> None:
+        """Be done after so many datagrams."""
+        self._left = datagrams
+        self.done.clear()
+
+    def take_datagram(
+        self,
+        entry: ServiceEntry,
+        flow: FlowKey,
+        caller: Address,
+        classified: Classified,
+        payload: bytes,
+    ) -> None:
+        """Route a datagram as the daemon's balancer does."""
+        kind, request = classified.kind, classified.request
+        actions = self.decisions.route(
+            entry, flow, caller, kind, request, payload, 200.0
+        )
+        for action in actions:
+            match action:
+                case Send(to, message):
+                    self.transport.send(to, message)
+        self._left -= 1
+        if self._left == 0:
+            # Runs after the transport's flush, which was called for before.
+            asyncio.get_running_loop().call_soon(self.done.set)
+
+
+def find_free_address() -> Address:
+    """Return a loopback address that nobody listens on."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return Address(*probe.getsockname())
+
+
+def _ignore_message(sender: Address, message: Message) -> None:
+    return
+
+
+def _ignore_batch() -> None:
+    return
+
+
+def draw_batches(rig: Rig) -> list[list[bytes]]:
+    """Build datagrams as a fabric relays them: PROXY header and CoAP request."""
+    batches: list[list[bytes]] = []
+    number = 0
+    for _ in range(BATCHES):
+        batch: list[bytes] = []
+        for position in rig.draw_positions(BATCH):
+            number += 1
+            request = build_message(MessageType.CON, GET, number & 0xFFFF, TOKEN)
+            header = encode_header(rig.callers[position], SERVICE_ADDRESS)
+            fill = bytes(PAYLOAD_BYTES - len(request) - 1)
+            batch.append(header + request + b"\xff" + fill)
+        batches.append(batch)
+    return batches
+
+
+async def time_balancer(
+    loopback: Loopback, rig: Rig, batches: list[list[bytes]]
+) -> float:
+    """Return microseconds for each datagram through the whole path."""
+    balancer = Balancer(rig)
+    await balancer.start()
+    spent = 0.0
+    for batch in batches:
+        for datagram in batch:
+            loopback.caller.sendto(datagram, balancer.edge.listen)
+        balancer.expect(len(batch))
+        began = time.perf_counter()
+        await balancer.done.wait()
+        spent += time.perf_counter() - began
+        loopback.drain_hosts()
+    await balancer.close()
+    return spent / sum(len(batch) for batch in batches) * 1e6
+
+
+def measure_whole(flows: int, seed: int) -> dict[str, Any]:
+    """Time a bare relay and the whole path in turns, on the same datagrams."""
+    loopback = Loopback()
+    rig = Rig(flows, seed, loopback.ports)
+    bare = build_bare(loopback)
+    times: list[tuple[float, float]] = []
+    for _ in range(ROUNDS):
+        batches = draw_batches(rig)
+        first = asyncio.run(time_relay(loopback, bare, batches))
+        second = asyncio.run(time_balancer(loopback, rig, batches))
+        times.append((first, second))
+    loopback.close()
+    ratios = [first / second for first, second in times]
+    return {
+        "flows": flows,
+        "bare_us": round(statistics.median(first for first, _ in times), 2),
+        "whole_us": round(statistics.median(second for _, second in times), 2),
+        "rate_ratio": round(statistics.median(ratios), 3),
+        "rate_ratio_least": round(min(ratios), 3),
+        "rate_ratio_most": round(max(ratios), 3),
+    }
+
+
+def measure(seed: int) -> Iterator[dict[str, Any]]:
+    """Measure requests at few and at many flows."""
+    for flows in (FLOW_COUNTS[0], FLOW_COUNTS[-1]):
+        part = "requests through edge, decisions, codec, seal and sockets"
+        yield {"case": "whole", "part": part, **measure_whole(flows, seed)}
+
+
+__all__ = ["measure", "measure_whole"]
