--- a/src/balsamstream/core/catalogue.py
+++ b/src/balsamstream/core/catalogue.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bisect import bisect_right, insort
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from operator import itemgetter
 from typing import TYPE_CHECKING, Any, Final
 
@@ -70,6 +70,7 @@
     def __init__(self, service: str = "") -> None:
         self.service = service
         self.complete_to = 0
+        self._listed_to = 0
         self.rejected = 0
         self.balancers_changed = 0
         self._objects: dict[tuple[str, str], ConfigObject] = {}
@@ -144,6 +145,9 @@
         taken = [found for found in changes.objects if self._accept_object(found)]
         if changes.full and changes.up_to >= self.complete_to:
             taken.extend(self._drop_missing(changes))
+            if changes.up_to > self.complete_to:
+                # A list does not name what was deleted before it.
+                self._listed_to = changes.up_to
         same_part = changes.service in ("", self.service)
         if same_part and (changes.full or changes.since <= self.complete_to):
             self.complete_to = max(self.complete_to, changes.up_to)
@@ -153,8 +157,16 @@
         """Gather what an asker lacks, oldest first, a bounded part at a time.
 
         An agent lacks what concerns other services; asked for one of them, it gives
-        what it has and claims no version to be complete.
+        what it has and claims no version to be complete. An asker from before the last
+        list gets everything, so that it sees what was deleted; only where that is more
+        than one part, deletions may be missing.
         """
+        if self.service in ("", ask.service) and ask.have < self._listed_to:
+            every = self._list_later(replace(ask, have=0))
+            if len(every) <= OBJECTS_PER_REPLY:
+                return Changes(
+                    0, self.complete_to, True, False, tuple(every), ask.service
+                )
         later = self._list_later(ask)
         part = tuple(later[:OBJECTS_PER_REPLY])
         more = len(later) > len(part)
@@ -202,6 +214,9 @@
         known = self._objects.get(key)
         if known is not None and known.version >= found.version:
             return False
+        if known is None and found.version <= self.complete_to:
+            # Nothing is missing up to there, so it was deleted since.
+            return False
         if not self._apply(found):
             self.rejected += 1
             return False
@@ -214,12 +229,21 @@
         for key, known in list(self._objects.items()):
             if key in present or known.spec is None or known.version > changes.up_to:
                 continue
+            if not self._concerns(key, changes.service):
+                continue
             gone = ConfigObject(known.kind, known.name, changes.up_to, None)
             self._apply(gone)
             self._store(key, gone)
             dropped.append(gone)
         return dropped
 
+    def _concerns(self, key: tuple[str, str], service: str) -> bool:
+        """Tell whether an answer about one service, or about all, names an object."""
+        if not service or key in self._shared:
+            return True
+        kind, name = key
+        return name == service and kind in _SERVICE_KINDS
+
     def _apply(self, found: ConfigObject) -> bool:
         try:
             kind = Kind(found.kind)
