Hold a starting host's limits and notice silent cold starts

Now the limits are held for a declared time from the first answer, and 7 of 8 answers that take over 2.5 times the usual time of one request at one slot count as a cold start.

--- a/demo/plan.py
+++ b/demo/plan.py
@@ -32,7 +32,7 @@
 PROFILE: Final[dict[str, Any]] = {
     "requests": "by-method",
     "deadline_ms": 2_000,
-    "cold_start": {"initial_share": 0.05, "ramp_s": 6.0},
+    "cold_start": {"initial_share": 0.05, "hold_s": COLD_S, "ramp_s": 3.0},
     "retry_after_s": {"least": 1.0, "most": 2.0},
 }
 
--- a/src/balsamstream/config/objects.py
+++ b/src/balsamstream/config/objects.py
@@ -48,11 +48,14 @@
     ----------
     initial_share : float
         Share of the full limits at the start, above 0 and up to 1.
+    hold_s : float
+        How long the limits stay there from the first answer on, in seconds.
     ramp_s : float
         Shortest time to the full limits, in seconds.
     """
 
     initial_share: float = 0.05
+    hold_s: float = 5.0
     ramp_s: float = 10.0
 
 
--- a/src/balsamstream/config/schema.py
+++ b/src/balsamstream/config/schema.py
@@ -83,11 +83,12 @@
     """Border form of ``ColdStart``."""
 
     initial_share: Annotated[Share, Field(gt=0)] = 0.05
+    hold_s: Seconds = 5.0
     ramp_s: Seconds = 10.0
 
     def convert(self) -> ColdStart:
         """Build the data class."""
-        return ColdStart(self.initial_share, self.ramp_s)
+        return ColdStart(self.initial_share, self.hold_s, self.ramp_s)
 
 
 class RetryAfterModel(Model):
--- a/src/balsamstream/core/admission.py
+++ b/src/balsamstream/core/admission.py
@@ -26,13 +26,17 @@
 """Share of the limit kept for each class of work that is shed later."""
 
 MOST_PENDING: Final = 100_000
-SLOW_FACTOR: Final = 4.0
+SLOW_FACTOR: Final = 2.5
+SLOW_ADDED_S: Final = 0.005
 LATENCY_WEIGHT: Final = 0.05
+SLOW_LATENCY_WEIGHT: Final = 0.01
+ANSWERS_JUDGED: Final = 8
+SLOW_ANSWERS: Final = 7
+"""So many slow answers among the last ones judged are taken for a cold start."""
+
 MEAN_OVER_S: Final = 0.5
 """Time over which the work in flight is averaged for reports."""
 
-LEAST_SLOW_S: Final = 0.02
-
 
 class Health(Enum):
     """What the latest answers show about the backend server."""
@@ -42,6 +46,14 @@
     RESTARTED = "restarted"
 
 
+@dataclass(frozen=True, slots=True)
+class _Started:
+    """When a request was delivered, and how many were in flight with it."""
+
+    time: float
+    in_flight: int
+
+
 @dataclass(frozen=True, slots=True)
 class Limits:
     """What the host bears now."""
@@ -70,13 +82,15 @@
         self.latency_s = 0.0
         self.mean_in_flight = 0.0
         self.health = Health.SOUND
-        self._in_flight: dict[tuple[FlowKey, RequestKey], float] = {}
+        self._in_flight: dict[tuple[FlowKey, RequestKey], _Started] = {}
         self._order: deque[tuple[float, tuple[FlowKey, RequestKey]]] = deque()
         self._failures = 0
         self._answers = 0
-        self._slow = 0
         self._refusals = 0
         self._ticked = now
+        self._held_until: float | None = None
+        self._work_s = 0.0
+        self._judged: deque[bool] = deque(maxlen=ANSWERS_JUDGED)
 
     @property
     def in_flight(self) -> int:
@@ -117,7 +131,7 @@
         key = (flow, request)
         if key in self._in_flight or len(self._order) >= MOST_PENDING:
             return
-        self._in_flight[key] = now
+        self._in_flight[key] = _Started(now, len(self._in_flight) + 1)
         self._order.append((now, key))
 
     def finish_request(self, flow: FlowKey, request: RequestKey, now: float) -> float:
@@ -125,11 +139,13 @@
         started = self._in_flight.pop((flow, request), None)
         if started is None:
             return -1.0
-        latency = now - started
+        latency = now - started.time
         self._failures = 0
         self.health = Health.SOUND
         self._answers += 1
-        self._learn_latency(latency)
+        if self._held_until is None:
+            self._held_until = now + self.profile.cold_start.hold_s
+        self._learn_latency(latency, started.in_flight)
         return latency
 
     def drop_request(self, flow: FlowKey, request: RequestKey) -> None:
@@ -142,7 +158,8 @@
         expired: list[tuple[FlowKey, RequestKey]] = []
         while self._order and self._order[0][0] <= now - deadline_s:
             started, key = self._order.popleft()
-            if self._in_flight.get(key) != started:
+            found = self._in_flight.get(key)
+            if found is None or found.time != started:
                 continue
             del self._in_flight[key]
             expired.append(key)
@@ -155,7 +172,7 @@
         initial = self.profile.cold_start.initial_share
         if self._failures >= FAILURES_TO_RESTART:
             self.health = Health.RESTARTED
-            self.share = initial
+            self._start_cold()
             return
         if self._failures >= FAILURES_TO_HALVE:
             self.health = Health.FAILING
@@ -167,26 +184,29 @@
 
     def restart(self) -> None:
         """Begin a cold start: the backend server was seen to have restarted."""
-        self.share = self.profile.cold_start.initial_share
+        self._start_cold()
         self._in_flight.clear()
         self._order.clear()
         self._failures = 0
         self.health = Health.SOUND
-        self.latency_s = 0.0
 
     def raise_share(self, share: float) -> None:
         """Take over what another agent process learned of this backend server."""
         self.share = max(self.share, min(1.0, share))
 
+    def _start_cold(self) -> None:
+        self.share = self.profile.cold_start.initial_share
+        self._held_until = None
+        self._judged.clear()
+
     def tick(self, now: float) -> None:
         """Raise the limits where the last interval's answers allow it."""
         elapsed = max(0.0, now - self._ticked)
         self._ticked = now
         weight = min(1.0, elapsed / MEAN_OVER_S)
         self.mean_in_flight += weight * (self.in_flight - self.mean_in_flight)
-        answers, slow, refusals = self._answers, self._slow, self._refusals
+        answers, refusals = self._answers, self._refusals
         self._answers = 0
-        self._slow = 0
         self._refusals = 0
         if refusals > 0:
             initial = self.profile.cold_start.initial_share
@@ -194,19 +214,29 @@
             return
         if answers == 0 or self._failures > 0 or self.share >= 1.0:
             return
-        if slow > answers / 2:
+        if self._held_until is None or now < self._held_until:
             return
         cold = self.profile.cold_start
         rise = (1.0 - cold.initial_share) * min(elapsed, 1.0) / cold.ramp_s
         self.share = min(1.0, self.share + rise)
 
-    def _learn_latency(self, latency: float) -> None:
-        if self.latency_s == 0.0:
-            self.latency_s = latency
+    def _learn_latency(self, latency: float, in_flight: int) -> None:
+        """Learn how long requests take, and notice that all take much longer.
+
+        What is compared is the time of one request at one slot: waiting behind others
+        lengthens an answer without any cold start.
+        """
+        work = latency * self.slots / max(self.slots, in_flight)
+        if self._work_s == 0.0:
+            self.latency_s, self._work_s = latency, work
             return
-        if latency > max(SLOW_FACTOR * self.latency_s, LEAST_SLOW_S):
-            self._slow += 1
         self.latency_s += LATENCY_WEIGHT * (latency - self.latency_s)
+        is_slow = work > SLOW_FACTOR * self._work_s + SLOW_ADDED_S
+        weight = SLOW_LATENCY_WEIGHT if is_slow else LATENCY_WEIGHT
+        self._work_s += weight * (work - self._work_s)
+        self._judged.append(is_slow)
+        if sum(self._judged) >= SLOW_ANSWERS:
+            self._start_cold()
 
 
 __all__ = ["Admission", "Health", "Limits"]
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -10,7 +10,7 @@
 
 
 def build_admission(initial: float = 0.1) -> Admission:
-    profile = Profile("counter", cold_start=ColdStart(initial, 10.0))
+    profile = Profile("counter", cold_start=ColdStart(initial, 0.0, 10.0))
     return Admission(profile, 2, 0.0)
 
 
@@ -57,3 +57,37 @@
         admission.start_request(FLOW, RequestKey(number + 1), 0.0)
     assert not admission.allows_request(WorkClass.REPEATABLE)
     assert admission.allows_request(WorkClass.NON_REPEATABLE)
+
+
+def answer_slowly(admission: Admission, latency_s: float, together: int) -> None:
+    for first in range(0, 40, together):
+        keys = [RequestKey(10_000 + first + number) for number in range(together)]
+        for key in keys:
+            admission.start_request(FLOW, key, 100.0 + first)
+        for key in keys:
+            admission.finish_request(FLOW, key, 100.0 + first + latency_s)
+
+
+def test_limits_stay_low_for_the_hold_after_the_first_answer() -> None:
+    profile = Profile("counter", cold_start=ColdStart(0.1, 3.0, 10.0))
+    admission = Admission(profile, 2, 0.0)
+    answer_for(admission, 2.9)
+    assert admission.share == 0.1
+    answer_for(admission, 6.0)
+    assert admission.share > 0.1
+
+
+def test_answers_that_all_slow_down_are_taken_for_a_cold_start() -> None:
+    admission = build_admission()
+    answer_for(admission, 5.0)
+    admission.share = 1.0
+    answer_slowly(admission, 0.05, together=1)
+    assert admission.share == 0.1
+
+
+def test_answers_that_wait_behind_others_are_no_cold_start() -> None:
+    admission = build_admission()
+    answer_for(admission, 5.0)
+    admission.share = 1.0
+    answer_slowly(admission, 0.05, together=10)
+    assert admission.share == 1.0
--- a/tests/process/scene.py
+++ b/tests/process/scene.py
@@ -21,7 +21,7 @@
 WARM_UP_S: Final = 3.0
 PROFILE: Final[dict[str, Any]] = {
     "deadline_ms": 2_000,
-    "cold_start": {"initial_share": 0.1, "ramp_s": 2.0},
+    "cold_start": {"initial_share": 0.1, "hold_s": 1.0, "ramp_s": 2.0},
     "retry_after_s": {"least": 0.5, "most": 1.0},
 }
 TIMING: Final = (
