Drop messages that concern another service

Cause: only claims compared the service; an address that passed from a host of one service to one of another could take load reports and questions meant for the first. Ruled out: leaving it to the views, which may be old. The test failed first.

--- a/src/balsamstream/core/agent.py
+++ b/src/balsamstream/core/agent.py
@@ -61,6 +61,20 @@
 
 MOST_WAITING: Final = 50_000
 
+_OF_ONE_SERVICE: Final = (
+    ClaimAsk,
+    ClaimReply,
+    HolderAsk,
+    HolderReply,
+    LoadReport,
+    ReportAsk,
+    ReportReply,
+    SealAsk,
+    SealReply,
+    TakeoverAsk,
+    TakeoverPart,
+)
+
 
 class AgentDecisions:
     """Admits, places, runs and answers; holds the truth about the host's flows.
@@ -100,12 +114,12 @@
 
     def receive(self, sender: Address, message: Message, now: float) -> list[Action]:
         """Take a message of another process."""
+        if not self._concerns(message):
+            return [Count("wrong_service")]
         match message:
             case Packet():
                 return self._take_packet(sender, message, now)
             case ClaimAsk():
-                if message.service != self.state.config.service:
-                    return [Count("wrong_service")]
                 return [Send(sender, self.voter.decide_claim(message, now))]
             case ClaimReply():
                 return self.single_run.take_vote(message, now)
@@ -139,6 +153,12 @@
             case _:
                 return [Count("unexpected_message")]
 
+    def _concerns(self, message: Message) -> bool:
+        """Tell a message of another service: its address may be a former host's."""
+        if not isinstance(message, _OF_ONE_SERVICE):
+            return True
+        return message.service == self.state.config.service
+
     def take_answer(
         self,
         flow: FlowKey,
