Name who changed a data centre meanwhile instead of overriding them

Cause: taking a data centre out or in was tried again on top of another operator's change, so the later of two conflicting orders won unseen. It is now one conditional write on what was read. Ruled out: the same for host drains, where the view changes for many other reasons.

--- a/src/balsamstream/command/datacentre.py
+++ b/src/balsamstream/command/datacentre.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from returns.result import Failure, Success
 
@@ -20,35 +20,42 @@
 async def change_data_centre(
     client: PlatformClient, name: str, state: DataCentreState
 ) -> Outcome:
-    """Change the state of a data centre, which has to be known."""
+    """Change the state of a data centre, which has to be known.
+
+    The write is on top of what was read: where another operator changes the data
+    centre meanwhile, it fails and names who did.
+    """
     listed = await client.list_all()
     if not isinstance(listed, Success):
         subject = f"datacentre {name}"
         return Failure(build_platform_fault(listed.failure(), subject))
-    known = _list_data_centres(listed.unwrap().objects)
+    objects = listed.unwrap().objects
+    known = _list_data_centres(objects)
     if name not in known:
         names = ", ".join(sorted(known)) or "none"
         line = f"there is no data centre {name}, known are: {names}"
         return Failure(Fault(ExitCode.MISSING, (line,)))
-    before: list[object] = []
-
-    def set_state(stored: StoredObject | None) -> dict[str, Any] | None:
-        held = stored.spec.get("state") if stored else DataCentreState.IN.value
-        before.append(held)
-        if stored is not None and held == state.value:
-            return None
-        return {"state": state.value}
-
-    result = await client.change(Kind.DATA_CENTRE, name, set_state)
-    if not isinstance(result, Success):
-        subject = f"datacentre {name}"
-        return Failure(build_platform_fault(result.failure(), subject))
-    changed = before[-1] != state.value
+    stored = _find_stored(objects, name)
+    held = stored.spec.get("state") if stored else DataCentreState.IN.value
+    if stored is None or held != state.value:
+        spec = {"state": state.value}
+        result = await client.write(Kind.DATA_CENTRE, name, stored, spec)
+        if not isinstance(result, Success):
+            subject = f"datacentre {name}"
+            return Failure(build_platform_fault(result.failure(), subject))
+    changed = held != state.value
     value = {"name": name, "state": state.value, "changed": changed}
     verb = "is now" if changed else "was already"
     return Success(Output(value, lines=(f"data centre {name} {verb} {state.value}",)))
 
 
+def _find_stored(objects: Iterable[StoredObject], name: str) -> StoredObject | None:
+    for item in objects:
+        if item.kind is Kind.DATA_CENTRE and item.name == name:
+            return item
+    return None
+
+
 def _list_data_centres(objects: Iterable[StoredObject]) -> set[str]:
     items = tuple(objects)
     names = {item.name for item in items if item.kind is Kind.DATA_CENTRE}
--- a/tests/command/test_operations.py
+++ b/tests/command/test_operations.py
@@ -168,3 +168,25 @@
             assert fault.code is ExitCode.UNAVAILABLE
 
     asyncio.run(run())
+
+
+def test_data_centre_changed_meanwhile_is_a_conflict_that_names_who() -> None:
+    async def run() -> None:
+        async with open_platform() as (_, url), open_client(url) as client:
+            await client.create(Kind.DATA_CENTRE, "thyna", {"state": "in"})
+            listed = await client.list_all()
+            out = {"state": "out"}
+            base = listed.unwrap().objects[0]
+            await client.write(Kind.DATA_CENTRE, "thyna", base, out)
+
+            async def list_before() -> object:
+                return listed
+
+            client.list_all = list_before  # type: ignore[assignment, method-assign]
+            outcome = await change_data_centre(client, "thyna", DataCentreState.OUT)
+            fault = outcome.failure()
+            assert fault.code is ExitCode.CONFLICT
+            assert base.changed_by in "\n".join(fault.lines)
+            assert await read_spec(client, Kind.DATA_CENTRE, "thyna") == out
+
+    asyncio.run(run())
