--- a/src/balsamstream/daemon/clocks.py
+++ b/src/balsamstream/daemon/clocks.py
@@ -60,8 +60,14 @@
     ) -> None:
         self._handle_pause = handle_pause
         self._read = read
+        self._has_begun = False
         self.last = read()
 
+    def begin(self) -> None:
+        """Look for pauses from now on: a start may take its time."""
+        self.last = self._read()
+        self._has_begun = True
+
     def check(self) -> float:
         """Compare with the last check; return the monotonic time in seconds."""
         before = self.last
@@ -72,7 +78,7 @@
             now.boot - before.boot,
             now.wall - before.wall,
         )
-        if gap_s > PAUSE_S:
+        if gap_s > PAUSE_S and self._has_begun:
             self._handle_pause(gap_s)
         return now.monotonic
 
--- a/src/balsamstream/daemon/role.py
+++ b/src/balsamstream/daemon/role.py
@@ -68,6 +68,7 @@
 
     async def start(self) -> None:
         """Begin to tick."""
+        self.clock.begin()
         self.kernel.start_task("tick", self._tick_repeatedly())
         self.kernel.start_task("changes", self._take_changes())
 
