--- a/model/configuration.py
+++ b/model/configuration.py
@@ -43,6 +43,8 @@
         "each list, watch event and answer of a peer at any time and again"
     )
 
+    most_depth = 0
+
     def __init__(self) -> None:
         self._memory = Memory(SKIPPED)
         self._mails: list[tuple[int, Changes]] = []
--- a/model/flows.py
+++ b/model/flows.py
@@ -120,6 +120,7 @@
 
     def __init__(self, change: Change) -> None:
         self.name = change.name
+        self.most_depth = 0
         ownership.MOST_WAITING_PACKETS = MOST_WAITING  # type: ignore[misc]
         self.bounds = (
             f"3 hosts and 1 of another service, {change.kind}, owner "
