Refuse at the bound of sockets and skip nothing between parts

Cause: at the backend sockets' bound datagrams were counted and dropped, in silence where an answer is possible; the bound is now one of the flow table, so new flows are refused as not run. Deletions found by one list share a version, and a part that ended between them lost the rest; a part now ends at a whole version. Both tests failed first. Ruled out: versions of our own for deletions, which peers would not share.

--- a/src/balsamstream/core/catalogue.py
+++ b/src/balsamstream/core/catalogue.py
@@ -105,6 +105,11 @@
         found = (self.find_service(name) for name in sorted(self._specs))
         return tuple(entry for entry in found if entry is not None)
 
+    def holds(self, kind: str, name: str) -> bool:
+        """Tell whether an object is known and not deleted."""
+        found = self._objects.get((kind, name))
+        return found is not None and found.spec is not None
+
     def find_view(self, service: str) -> View | None:
         """Return a service's latest view."""
         return self._views.get(service)
@@ -168,7 +173,7 @@
                     0, self.complete_to, True, False, tuple(every), ask.service
                 )
         later = self._list_later(ask)
-        part = tuple(later[:OBJECTS_PER_REPLY])
+        part = _cut_part(later)
         more = len(later) > len(part)
         up_to = self.complete_to
         if self.service not in ("", ask.service):
@@ -178,7 +183,7 @@
         return Changes(ask.have, up_to, False, more, part, ask.service)
 
     def _list_later(self, ask: ChangesAsk) -> list[ConfigObject]:
-        """Return what an asker lacks, oldest first, up to one more than a part."""
+        """Return what an asker lacks, oldest first, up to a version beyond a part."""
         if ask.service:
             return self._list_later_of_service(ask)
         later: list[ConfigObject] = []
@@ -189,7 +194,7 @@
             if found.version != version:
                 continue
             later.append(found)
-            if len(later) > OBJECTS_PER_REPLY:
+            if len(later) > OBJECTS_PER_REPLY and version != later[-2].version:
                 break
         return later
 
@@ -314,6 +319,17 @@
                 self._balancers.pop(name, None)
 
 
+def _cut_part(later: list[ConfigObject]) -> tuple[ConfigObject, ...]:
+    """Return the first part; objects of one version stay together.
+
+    An asker goes on from the last version that it was given.
+    """
+    end = OBJECTS_PER_REPLY
+    while end < len(later) and later[end].version == later[end - 1].version:
+        end += 1
+    return tuple(later[:end])
+
+
 def read_view(name: str, spec: Mapping[str, Any]) -> View:
     """Read a view from its object.
 
--- a/src/balsamstream/core/state.py
+++ b/src/balsamstream/core/state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from .catalogue import Catalogue, number_service
 from .flows import FlowTable
@@ -21,7 +21,9 @@
     from .admission import Admission
     from .message import Packet
 
-HEAD_BYTES = 32
+MOST_FLOWS: Final = 60_000
+
+HEAD_BYTES: Final = 32
 """Enough of a datagram for the edge to answer it: CoAP header and longest token."""
 
 
@@ -68,6 +70,7 @@
     )
     admission: Admission | None = None
     leaving: bool = False
+    most_flows: int = MOST_FLOWS
 
     @classmethod
     def create(cls, config: AgentConfig, random: Random) -> AgentState:
@@ -100,6 +103,8 @@
         """Whether new flows may be opened here as far as membership goes."""
         if self.leaving or self.is_out or self.admission is None:
             return False
+        if len(self.flows) >= self.most_flows:
+            return False
         return any(member.ref == self.config.ref for member in self.routing.eligible)
 
     def update_routing(self) -> bool:
--- a/src/balsamstream/daemon/agent.py
+++ b/src/balsamstream/daemon/agent.py
@@ -137,6 +137,7 @@
     async def follow_up(self) -> None:
         """Follow the declared service, ask the platform at need, notice the end."""
         decisions = self._decisions
+        decisions.state.most_flows = self._backend.most_sockets
         entry = decisions.state.catalogue.find_service(self._agent.service)
         if entry is not None:
             self._backend.use_protocol(find_protocol(entry.spec.protocol))
--- a/src/balsamstream/daemon/backend.py
+++ b/src/balsamstream/daemon/backend.py
@@ -74,6 +74,11 @@
         self._taker: AnswerTaker | None = None
         self._before_batch: Callable[[], None] | None = None
 
+    @property
+    def most_sockets(self) -> int:
+        """Sockets that may be open at once, known after the start."""
+        return self._most_sockets
+
     def __len__(self) -> int:
         return len(self._sockets)
 
--- a/tests/core/test_catalogue.py
+++ b/tests/core/test_catalogue.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from balsamstream.core.catalogue import Catalogue
+from balsamstream.core.catalogue import OBJECTS_PER_REPLY, Catalogue
 from balsamstream.core.message import Changes, ChangesAsk, ConfigObject
 
 SERVICE_SPEC = {"address": "127.0.0.1:5683", "profile": "counter"}
@@ -52,3 +52,20 @@
     assert catalogue.accept(Changes(3, 9, False, False, (wrong,))) == []
     assert catalogue.find_service("comptoir") is not None
     assert catalogue.rejected == 1
+
+
+def test_answer_in_parts_skips_no_object_of_one_version() -> None:
+    whole = Catalogue()
+    names = [f"profile-{number:04}" for number in range(2 * OBJECTS_PER_REPLY)]
+    found = [ConfigObject("Profile", name, n + 1, {}) for n, name in enumerate(names)]
+    version = len(names)
+    whole.accept(Changes(0, version, False, False, tuple(found)))
+    follower = Catalogue()
+    follower.accept(Changes(0, version, False, False, tuple(found)))
+    whole.accept(Changes(0, version + 5, True, False, ()))
+    for _ in range(10):
+        follower.accept(whole.answer(ChangesAsk(follower.complete_to)))
+    assert follower.complete_to == version + 5
+    assert not any(follower.answer(ChangesAsk(0)).objects[n].spec for n in range(5))
+    left = [name for name in names if follower.holds("Profile", name)]
+    assert left == []
--- a/tests/core/test_refusals.py
+++ b/tests/core/test_refusals.py
@@ -6,6 +6,7 @@
 from balsamstream.core.message import RequestKind
 from balsamstream.core.verdict import MayHaveRun, NotRun
 from tests.core.network import Network
+from tests.core.test_path import build_network
 
 FIRST = Address("127.0.0.1", 40000)
 SECOND = Address("127.0.0.1", 40001)
@@ -58,3 +59,17 @@
     verdicts = [told.verdict for told in network.told if told.verdict is not None]
     assert [type(verdict) for verdict in verdicts] == [NotRun, NotRun]
     assert len(network.runs) == 1
+
+
+def test_new_flow_is_refused_as_not_run_at_the_bound_of_the_table() -> None:
+    network = build_network(1)
+    state = network.agents["comptoir-0"].state
+    network.send_request("balancer-1", "comptoir", Address("127.0.0.1", 46000), 1)
+    network.settle()
+    state.most_flows = 1
+    caller = Address("127.0.0.1", 46001)
+    kind = RequestKind.NON_REPEATABLE
+    network.send_request("balancer-1", "comptoir", caller, 2, kind)
+    network.settle()
+    assert len(network.runs) == 1
+    assert isinstance(network.told[-1].verdict, NotRun)
