Learn the usual time of a request from many answers before judging

Now the mean of 32 answers comes first. Ruled out: the number in flight at the start only (counting those at the end too changed nothing).

--- a/src/balsamstream/core/admission.py
+++ b/src/balsamstream/core/admission.py
@@ -30,6 +30,7 @@
 SLOW_ADDED_S: Final = 0.005
 LATENCY_WEIGHT: Final = 0.05
 SLOW_LATENCY_WEIGHT: Final = 0.01
+ANSWERS_LEARNED: Final = 32
 ANSWERS_JUDGED: Final = 8
 SLOW_ANSWERS: Final = 7
 """So many slow answers among the last ones judged are taken for a cold start."""
@@ -90,6 +91,7 @@
         self._ticked = now
         self._held_until: float | None = None
         self._work_s = 0.0
+        self._learned = 0
         self._judged: deque[bool] = deque(maxlen=ANSWERS_JUDGED)
 
     @property
@@ -226,9 +228,13 @@
         What is compared is the time of one request at one slot: waiting behind others
         lengthens an answer without any cold start.
         """
-        work = latency * self.slots / max(self.slots, in_flight)
-        if self._work_s == 0.0:
-            self.latency_s, self._work_s = latency, work
+        most = max(self.slots, in_flight, len(self._in_flight) + 1)
+        work = latency * self.slots / most
+        self._learned += 1
+        if self._learned <= ANSWERS_LEARNED:
+            # One answer says little of the usual time: take the mean of the first.
+            self.latency_s += (latency - self.latency_s) / self._learned
+            self._work_s += (work - self._work_s) / self._learned
             return
         self.latency_s += LATENCY_WEIGHT * (latency - self.latency_s)
         is_slow = work > SLOW_FACTOR * self._work_s + SLOW_ADDED_S
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -91,3 +91,12 @@
     admission.share = 1.0
     answer_slowly(admission, 0.05, together=10)
     assert admission.share == 1.0
+
+
+def test_one_quick_first_answer_makes_the_usual_ones_no_cold_start() -> None:
+    admission = build_admission()
+    admission.start_request(FLOW, RequestKey(1), 0.0)
+    admission.finish_request(FLOW, RequestKey(1), 0.0001)
+    admission.share = 1.0
+    answer_slowly(admission, 0.05, together=1)
+    assert admission.share == 1.0
