--- a/model/flows.py
+++ b/model/flows.py
@@ -125,7 +125,8 @@
         self.bounds = (
             f"3 hosts and 1 of another service, {change.kind}, owner "
             f"{' then '.join(change.owners)}, {change.light} lightly loaded, "
-            f"a packet enters at each of {change.entries}, {MOST_WAITING} waiting packets, no timeouts"
+            f"a packet enters at each of {change.entries}, "
+            f"{MOST_WAITING} waiting packets, no timeouts"
         )
         self._change = change
         owner = f"{SERVICE}-{change.owners[1]}"
--- a/model/guards.py
+++ b/model/guards.py
@@ -16,6 +16,7 @@
 TWO_COPIES: Final = "claims: two copies"
 REFUSING: Final = "claims: a copy and a refusal"
 RESTARTS: Final = "claims: a voter restarts"
+HALF: Final = "claims: a voter drains, two copies"
 ASLEEP: Final = "claims: a voter drains, the winner asleep"
 DRAINS: Final = "claims: two voters drain"
 BALANCER: Final = "claims: a copy and a balancer's refusal"
@@ -131,7 +132,7 @@
         CLAIM,
         "        if ask.epoch < self.sealed_below or ask.epoch != newest:\n",
         "        if False:\n",
-        ASLEEP,
+        HALF,
     ),
     Guard(
         "epoch of a vote",
@@ -145,7 +146,7 @@
         CLAIM,
         "            if not self._is_sealed(earlier):\n                return\n",
         "            pass\n",
-        ASLEEP,
+        HALF,
     ),
     Guard(
         "majority of each earlier set seals",
@@ -159,7 +160,7 @@
         CLAIM,
         "            self._merge(request, holder, now)\n",
         "            pass\n",
-        ASLEEP,
+        HALF,
     ),
     Guard(
         "trim waits for activation",
@@ -241,6 +242,8 @@
         "                continue\n",
         "",
         OWNER_DRAINS,
+        "or packet.flow in self._asked:",
+        ":",
     ),
     Guard(
         "hop limit",
