Freeze an agent in process tests only while its host has work

Cause: the freeze of an owner could fall between two orders and prove nothing. Slow answers and the status page now make sure that requests are in flight.

--- a/tests/process/scene.py
+++ b/tests/process/scene.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import json
 import time
+import urllib.request
 from contextlib import contextmanager
 from typing import TYPE_CHECKING, Any, Final
 
@@ -19,6 +21,7 @@
 COUNTER: Final = "counter"
 FITTING: Final = "fitting"
 WARM_UP_S: Final = 3.0
+AT_WORK_WAIT_S: Final = 10.0
 PROFILE: Final[dict[str, Any]] = {
     "deadline_ms": 2_000,
     "cold_start": {"initial_share": 0.1, "hold_s": 1.0, "ramp_s": 2.0},
@@ -64,6 +67,20 @@
         fleet.start_callers("callers", [*addresses, *callers, *TIMING, "--seed=1"])
         time.sleep(WARM_UP_S)
 
+    def read_status(self, name: str) -> dict[str, Any]:
+        """Read a daemon's status page."""
+        url = f"http://{self.fleet.daemons[name].status}/status"
+        with urllib.request.urlopen(url, timeout=2.0) as answer:
+            status: dict[str, Any] = json.load(answer)
+        return status
+
+    def pause_at_work(self, host: str) -> None:
+        """Freeze an agent while its host has requests in flight."""
+        until = time.monotonic() + AT_WORK_WAIT_S
+        while self.read_status(host)["in_flight"] == 0:
+            assert time.monotonic() < until, f"{host} gets no work"
+        self.fleet.processes.pause(host)
+
     def finish(self) -> Figures:
         """End the callers and compare all records."""
         self.fleet.processes.terminate("callers")
--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -26,14 +26,16 @@
     assert figures.broken_flows == 0
 
 
-def test_frozen_agent_wakes_without_running_an_order_twice(tmp_path: Path) -> None:
+def test_agent_frozen_in_the_middle_of_orders_runs_none_twice(tmp_path: Path) -> None:
     with open_scene(tmp_path, callers=("--boards=6", "--baskets=30")) as scene:
         processes = scene.fleet.processes
-        processes.pause("counter-0")
+        for host in ("counter-0", "counter-1"):
+            scene.fleet.control_backend(host, {"slow_ms": 300})
+        scene.pause_at_work("counter-0")
         time.sleep(FREEZE_S)
         processes.resume("counter-0")
         time.sleep(2.0)
-        processes.pause("counter-1")
+        scene.pause_at_work("counter-1")
         time.sleep(1.0)
         processes.kill("counter-2")
         time.sleep(FREEZE_S)
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import json
 import time
-import urllib.request
 from concurrent.futures import ThreadPoolExecutor
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import pytest
 
@@ -16,18 +14,9 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-    from tests.process.scene import Scene
-
 MOST_SECONDS_IN_FORCE = 6.0
 
 
-def read_status(scene: Scene, name: str) -> dict[str, Any]:
-    url = f"http://{scene.fleet.daemons[name].status}/status"
-    with urllib.request.urlopen(url, timeout=2.0) as answer:
-        status: dict[str, Any] = json.load(answer)
-    return status
-
-
 def test_service_goes_on_while_the_platform_is_down(tmp_path: Path) -> None:
     with open_scene(tmp_path) as scene:
         fleet = scene.fleet
@@ -57,7 +46,7 @@
             waiting = {
                 name
                 for name in waiting
-                if read_status(scene, name)["data_centres_out"] != ["thyna"]
+                if scene.read_status(name)["data_centres_out"] != ["thyna"]
             }
             time.sleep(0.1)
         expect_sound(scene.finish())
@@ -82,7 +71,7 @@
         assert any(results)
         time.sleep(MOST_SECONDS_IN_FORCE)
         outs = {
-            str(read_status(scene, name)["data_centres_out"]) for name in fleet.daemons
+            str(scene.read_status(name)["data_centres_out"]) for name in fleet.daemons
         }
         expect_sound(scene.finish())
     assert len(outs) == 1
