Take no order that can't be told from its copies

Cause: a packet marked as not repeatable without a request key was delivered without a claim, and a profile could ask for that of an opaque service. The first is dropped and counted, the second refused with file, line and field. Votes now compare the service as well. Ruled out: a key from the whole datagram, which equal orders of one caller share.

--- a/src/balsamstream/config/check.py
+++ b/src/balsamstream/config/check.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from .objects import ConfigObject, Profile, ServiceSpec
+from .objects import ConfigObject, Profile, Protocol, Requests, ServiceSpec
 from .parse import find_object_kind
 
 if TYPE_CHECKING:
@@ -32,14 +32,15 @@
     Returns
     -------
     list of Problem
-        A name that stands twice, a service that names no profile, an address
-        of two services.
+        A name that stands twice, a service that names no profile or one that
+        its protocol can't carry out, an address of two services.
     """
     replaced = {(entry.kind, entry.item.name) for entry in loaded}
     kept = [item for item in held if _identify(item) not in replaced]
     return [
         *_check_names(loaded),
         *_check_profiles(loaded, kept),
+        *_check_protocols(loaded, kept),
         *_check_addresses(loaded, kept),
     ]
 
@@ -79,6 +80,38 @@
     return problems
 
 
+def _check_protocols(
+    loaded: Sequence[LoadedObject], kept: Sequence[ConfigObject]
+) -> list[Problem]:
+    """Find opaque services that shall run each request at most once.
+
+    Where no request is seen, its copies can't be told from others.
+    """
+    items = [*kept, *(entry.item for entry in loaded)]
+    once = {
+        item.name
+        for item in items
+        if isinstance(item, Profile) and item.requests is Requests.NON_REPEATABLE
+    }
+    opaque = {
+        item.profile: item.name
+        for item in items
+        if isinstance(item, ServiceSpec) and item.protocol is Protocol.OPAQUE
+    }
+    problems: list[Problem] = []
+    for entry in loaded:
+        item = entry.item
+        if isinstance(item, Profile) and item.name in once & opaque.keys():
+            text = f"service {opaque[item.name]} is opaque, its requests are not seen"
+            problems.append(entry.report("spec.requests", text))
+        if not isinstance(item, ServiceSpec) or item.protocol is not Protocol.OPAQUE:
+            continue
+        if item.profile in once:
+            text = f"profile {item.profile} needs requests to be seen"
+            problems.append(entry.report("spec.protocol", text))
+    return problems
+
+
 def _check_addresses(
     loaded: Sequence[LoadedObject], kept: Sequence[ConfigObject]
 ) -> list[Problem]:
--- a/src/balsamstream/core/agent.py
+++ b/src/balsamstream/core/agent.py
@@ -248,6 +248,9 @@
         state = self.state
         if packet.service != state.number:
             return [Count("wrong_service")]
+        if packet.kind is RequestKind.NON_REPEATABLE and packet.request == NO_REQUEST:
+            # Nothing tells its copies from others, so it can't be claimed.
+            return [Count("request_without_key")]
         actions: list[Action] = []
         if packet.hops == 0:
             self.follower.note_source(sender, now)
--- a/src/balsamstream/core/claim.py
+++ b/src/balsamstream/core/claim.py
@@ -338,6 +338,8 @@
         listed = any(voter.ref == reply.voter for voter in self.voters.voters)
         if not listed or reply.epoch != self.voters.epoch:
             return None
+        if reply.service != self.service:
+            return None
         if reply.claimant != self.claimant or reply.request != self.request:
             return None
         self._votes[reply.voter] = (reply.outcome, reply.holder)
--- a/tests/config/test_file.py
+++ b/tests/config/test_file.py
@@ -144,3 +144,12 @@
     assert [problem.field for problem in check_set(loaded, held)] == ["spec.address"]
     replaced = [ServiceSpec("comptoir", Address("127.0.0.1", 5683), "old")]
     assert check_set(loaded, replaced) == []
+
+
+def test_set_has_no_opaque_service_whose_requests_run_once(tmp_path: Path) -> None:
+    once = COUNTER.replace("spec: {}", "spec: {requests: non-repeatable}")
+    opaque = COMPTOIR.replace("profile: counter", "profile: counter, protocol: opaque")
+    loaded = load_file(write(tmp_path, once, opaque)).unwrap()
+    fields = [problem.field for problem in check_set(loaded)]
+    assert fields == ["spec.requests", "spec.protocol"]
+    assert check_set(load_file(write(tmp_path, once, COMPTOIR)).unwrap()) == []
--- a/tests/core/test_wrong_service.py
+++ b/tests/core/test_wrong_service.py
@@ -4,7 +4,13 @@
 
 from dataclasses import replace
 
-from balsamstream.core.identity import Address, FlowKey, ProcessRef, RequestKey
+from balsamstream.core.identity import (
+    NO_REQUEST,
+    Address,
+    FlowKey,
+    ProcessRef,
+    RequestKey,
+)
 from balsamstream.core.message import (
     ClaimAsk,
     Count,
@@ -22,6 +28,20 @@
 REF = ProcessRef("fitter-1", 77)
 
 
+def build_packet(service: int) -> Packet:
+    return Packet(
+        service,
+        FlowKey(5),
+        ELSEWHERE,
+        ELSEWHERE,
+        RoutingVersion(1, 1),
+        RequestKind.NON_REPEATABLE,
+        RequestKey(6),
+        1_000,
+        b"order",
+    )
+
+
 def test_messages_of_another_service_are_counted_and_dropped() -> None:
     agent = build_network().agents["comptoir-0"]
     messages: list[Message] = [
@@ -35,19 +55,15 @@
 
 
 def test_packet_of_another_service_runs_nothing() -> None:
+    agent = build_network().agents["comptoir-0"]
+    packet = build_packet(agent.state.number)
+    wrong = replace(packet, service=agent.state.number + 1)
+    assert agent.receive(ELSEWHERE, wrong, 200.0) == [Count("wrong_service")]
+
+
+def test_order_without_a_key_is_dropped_as_it_cannot_be_claimed() -> None:
     network = build_network()
     agent = network.agents["comptoir-0"]
-    number = agent.state.number
-    packet = Packet(
-        number,
-        FlowKey(5),
-        ELSEWHERE,
-        ELSEWHERE,
-        RoutingVersion(1, 1),
-        RequestKind.NON_REPEATABLE,
-        RequestKey(6),
-        1_000,
-        b"order",
-    )
-    wrong = replace(packet, service=number + 1)
-    assert agent.receive(ELSEWHERE, wrong, 200.0) == [Count("wrong_service")]
+    packet = replace(build_packet(agent.state.number), request=NO_REQUEST)
+    actions = agent.receive(ELSEWHERE, packet, 200.0)
+    assert actions == [Count("request_without_key")]
