Have one class for addresses

Cause: the configuration and the decisions each had their own, and code converted between two equal tuples. The border keeps its validation. Behaviour is unchanged.

--- a/bench/whole.py
+++ b/bench/whole.py
@@ -8,7 +8,6 @@
 import time
 from typing import TYPE_CHECKING, Any, Final
 
-from balsamstream.config import Address as ConfigAddress
 from balsamstream.core.identity import Address, ProcessRef
 from balsamstream.core.message import Send
 from balsamstream.daemon.edge import Edge
@@ -62,7 +61,7 @@
         key = Key(1, bytes(32))
         self.transport = Transport(ref, find_free_address(), [key], metrics)
         self.transport.connect(_ignore_message, _ignore_batch)
-        settings = EdgeSettings(ConfigAddress(*find_free_address()))
+        settings = EdgeSettings(find_free_address())
         self.edge = Edge(settings, rig.balancer.catalogue, metrics)
         self.edge.connect(self, _ignore_batch)
 
--- a/src/balsamstream/config/address.py
+++ b/src/balsamstream/config/address.py
@@ -3,30 +3,13 @@
 from __future__ import annotations
 
 import ipaddress
-from typing import Final, NamedTuple
+from typing import Final
 
 from returns.result import Failure, Result, Success
 
-LARGEST_PORT: Final = 65_535
-
-
-class Address(NamedTuple):
-    """An IP number and a port, usable as a socket address.
-
-    Attributes
-    ----------
-    ip : str
-        IPv4 number.
-    port : int
-        1 to 65535.
-    """
+from ..core.identity import Address
 
-    ip: str
-    port: int
-
-    def __str__(self) -> str:
-        """Write the address as ``ip:port``."""
-        return f"{self.ip}:{self.port}"
+LARGEST_PORT: Final = 65_535
 
 
 def parse_address(text: str) -> Result[Address, str]:
--- a/src/balsamstream/core/catalogue.py
+++ b/src/balsamstream/core/catalogue.py
@@ -280,7 +280,7 @@
         self._forget(Kind.SERVICE, spec.name)
         self._specs[spec.name] = spec
         self._by_number[number_service(spec.name)] = spec.name
-        self._by_address[Address(*spec.address)] = spec.name
+        self._by_address[spec.address] = spec.name
 
     def _apply_view(self, name: str, spec: Mapping[str, Any]) -> bool:
         try:
@@ -310,7 +310,7 @@
                 if old is None:
                     return
                 self._by_number.pop(number_service(name), None)
-                self._by_address.pop(Address(*old.address), None)
+                self._by_address.pop(old.address, None)
             case Kind.DATA_CENTRE:
                 self._data_centres.pop(name, None)
             case Kind.VIEW:
--- a/src/balsamstream/daemon/agent.py
+++ b/src/balsamstream/daemon/agent.py
@@ -61,7 +61,7 @@
             agent.service,
             settings.data_centre,
             agent.slots,
-            tuple(Address(*peer) for peer in settings.peers),
+            tuple(settings.peers),
         )
         self._decisions = AgentDecisions(config, random.Random(ref.incarnation))
         self._reads = ReadSchedule(self.clock.last.monotonic)
--- a/src/balsamstream/daemon/balancer.py
+++ b/src/balsamstream/daemon/balancer.py
@@ -58,7 +58,7 @@
             self.transport.address,
             settings.data_centre,
             balancer.hints,
-            tuple(Address(*peer) for peer in settings.peers),
+            tuple(settings.peers),
         )
         self._decisions = BalancerDecisions(config, random.Random(ref.incarnation))
         self._edge = Edge(balancer.edge, self._decisions.catalogue, self.metrics)
--- a/src/balsamstream/daemon/daemon.py
+++ b/src/balsamstream/daemon/daemon.py
@@ -10,7 +10,7 @@
 import structlog
 from returns.result import Failure, Success
 
-from balsamstream.core.identity import Address, ProcessRef
+from balsamstream.core.identity import ProcessRef
 from balsamstream.kernel import Kernel
 from balsamstream.platform.client import PlatformClient
 from balsamstream.platform.transport import HttpTransport
@@ -75,7 +75,7 @@
         settings = self._settings
         kernel = self._kernel
         ref = ProcessRef(settings.name, 1 + secrets.randbits(INCARNATION_BITS - 1))
-        address = Address(*settings.address)
+        address = settings.address
         metrics = Metrics(kernel, settings.metrics, settings.name)
         kernel.add(METRICS, metrics)
         kernel.add(BURN, BurnCounter(settings.name, settings.data_centre))
@@ -102,7 +102,7 @@
                 from .backend import BackendSockets
 
                 metrics = self._kernel.find(METRICS, Metrics)
-                backend = BackendSockets(Address(*agent.backend_server), metrics)
+                backend = BackendSockets(agent.backend_server, metrics)
                 self._kernel.add(BACKEND, backend)
                 return Agent(self._kernel, self._settings, agent, ref)
         raise ValueError("the settings name no role")
--- a/src/balsamstream/daemon/edge.py
+++ b/src/balsamstream/daemon/edge.py
@@ -76,7 +76,7 @@
         self, settings: EdgeSettings, catalogue: Catalogue, metrics: Metrics
     ) -> None:
         self._settings = settings
-        self.listen = Address(*settings.listen)
+        self.listen = settings.listen
         self._catalogue = catalogue
         self.metrics = metrics
         take = self._take_relayed if settings.proxy_protocol else self._take_direct
@@ -146,10 +146,10 @@
         if refusal is None:
             self.metrics.count("lost.refusal_without_form")
             return
-        self._send(Address(*entry.spec.address), action.caller, refusal)
+        self._send(entry.spec.address, action.caller, refusal)
 
     def _note_address(self, entry: ServiceEntry) -> Address:
-        address = Address(*entry.spec.address)
+        address = entry.spec.address
         self._addresses[entry.number] = address
         return address
 
--- a/tests/daemon/test_edge.py
+++ b/tests/daemon/test_edge.py
@@ -7,7 +7,6 @@
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
-from balsamstream.config import Address as ConfigAddress
 from balsamstream.core.catalogue import Catalogue, ServiceEntry, number_service
 from balsamstream.core.identity import Address, FlowKey
 from balsamstream.core.message import (
@@ -79,7 +78,7 @@
     taker = Taker()
     listen = find_free_address()
     service = ADDRESS if is_relayed else listen
-    settings = EdgeSettings(ConfigAddress(*listen), is_relayed)
+    settings = EdgeSettings(listen, is_relayed)
     edge = Edge(settings, make_catalogue(service), make_metrics())
     edge.connect(taker, ignore_batch)
     await edge.start()
