--- a/src/balsamstream/daemon/balancer.py
+++ b/src/balsamstream/daemon/balancer.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from balsamstream.core.balancer import BalancerConfig, BalancerDecisions
-from balsamstream.core.identity import Address
 from balsamstream.core.message import (
     Cancel,
     Changes,
@@ -29,7 +28,7 @@
     from collections.abc import Sequence
 
     from balsamstream.core.catalogue import ServiceEntry
-    from balsamstream.core.identity import FlowKey, ProcessRef
+    from balsamstream.core.identity import Address, FlowKey, ProcessRef
     from balsamstream.core.message import Action, Message
     from balsamstream.edge.protocol import Classified
     from balsamstream.kernel import Kernel
