--- a/bench/packets.py
+++ b/bench/packets.py
@@ -14,7 +14,7 @@
 import xxhash
 
 from balsamstream.core.balancer import BalancerConfig, BalancerDecisions
-from balsamstream.core.catalogue import number_service, write_view
+from balsamstream.core.catalogue import number_service
 from balsamstream.core.identity import Address, FlowKey, ProcessRef, RequestKey
 from balsamstream.core.message import (
     Answer,
@@ -25,6 +25,7 @@
     Send,
 )
 from balsamstream.core.routing import RoutingVersion, compute_flow_key
+from balsamstream.core.stored_view import write_view
 from balsamstream.core.view import Member, View
 
 if TYPE_CHECKING:
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -15,7 +15,7 @@
 from statistics import median
 from typing import TYPE_CHECKING, Any, Final
 
-from balsamstream.core.catalogue import Catalogue, write_view
+from balsamstream.core.catalogue import Catalogue
 from balsamstream.core.claim import VoterRole
 from balsamstream.core.flows import FlowTable
 from balsamstream.core.hints import Hints
@@ -42,6 +42,7 @@
     ReportReply,
 )
 from balsamstream.core.routing import Routing, RoutingVersion
+from balsamstream.core.stored_view import write_view
 from balsamstream.core.view import Member, View, Voter, VoterSet
 from balsamstream.wire.codec import decode_message, encode_message
 from balsamstream.wire.fragment import MOST_DATAGRAM_BYTES
--- a/model/flows.py
+++ b/model/flows.py
@@ -12,7 +12,6 @@
 
 from balsamstream.core import ownership
 from balsamstream.core.agent import MOST_HOPS, AgentDecisions
-from balsamstream.core.catalogue import read_view
 from balsamstream.core.identity import Address, FlowKey, RequestKey
 from balsamstream.core.message import (
     Action,
@@ -30,6 +29,7 @@
     Send,
 )
 from balsamstream.core.routing import Routing, compute_flow_key
+from balsamstream.core.stored_view import read_view
 from balsamstream.core.view import Join, Member, MemberState, SetState, View
 from tests.core.network import Network
 
--- a/src/balsamstream/command/view.py
+++ b/src/balsamstream/command/view.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from ..config import Kind
-from ..core.catalogue import read_view, write_view
+from ..core.stored_view import read_view, write_view
 from ..core.view import View, ViewEdit, edit_view
 from .fleet import list_spare_voters
 from .outcome import ExitCode, Fault, build_platform_fault
--- a/src/balsamstream/core/ownership.py
+++ b/src/balsamstream/core/ownership.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Final
 
+from .acted import FIRST, FLOWS_PER_PART, ActedFlows, build_note
 from .budget import RetryBudget
 from .load import FULL, estimate_load
 from .message import (
@@ -19,7 +20,6 @@
     RequestKind,
     Send,
 )
-from .routing import RoutingVersion
 
 if TYPE_CHECKING:
     from .identity import Address, FlowKey, ProcessRef
@@ -30,14 +30,9 @@
 MOST_PINS: Final = 200_000
 MOST_ASKED_FLOWS: Final = 2_000
 MOST_WAITING_PACKETS: Final = 8
-FLOWS_PER_PART: Final = 120
-FIRST: Final = -1
-NO_VERSION: Final = RoutingVersion(0, 0)
 HOLDER_WAIT_S: Final = 0.2
 REPORT_REPEAT_S: Final = 0.2
 REPORT_GIVE_UP_S: Final = 3.0
-ACTED_REPEAT_S: Final = 1.0
-ACTED_KEPT_S: Final = 30.0
 
 
 class Place(Enum):
@@ -90,8 +85,7 @@
         self._pins: OrderedDict[FlowKey, ProcessRef] = OrderedDict()
         self._asked: dict[FlowKey, _Asked] = {}
         self._reporting: dict[ProcessRef, _Reporting] = {}
-        self._acted: OrderedDict[FlowKey, tuple[ProcessRef, float]] = OrderedDict()
-        self._acted_told = 0.0
+        self._acted = ActedFlows(state)
         self._budget = RetryBudget()
 
     @property
@@ -231,7 +225,7 @@
         for flow, asked in list(self._asked.items()):
             if now >= asked.until:
                 placements += self._release(flow, now)
-        actions += self._tell_acted(now)
+        actions += self._acted.tell_owners(self._pins, now)
         return placements, actions
 
     def forget_pin(self, flow: FlowKey) -> None:
@@ -303,14 +297,7 @@
         owner = self._state.routing.find_owner(flow)
         if owner is None or owner.ref == self._state.config.ref:
             return []
-        return [self._build_note(owner, self._pins[flow], (flow,))]
-
-    def _build_note(
-        self, owner: Member, holder: ProcessRef, flows: tuple[FlowKey, ...]
-    ) -> Send:
-        service = self._state.config.service
-        note = ReportReply(service, NO_VERSION, holder, FIRST, False, flows)
-        return Send(owner.address, note)
+        return [build_note(self._state, owner, self._pins[flow], (flow,))]
 
     def _pass(
         self, packet: Packet, member: Member, flags: PacketFlag, counter: str
@@ -409,7 +396,7 @@
         if best is None:
             return Placement(packet, Place.REFUSE, (Count("no_host_bears_more"),))
         if PacketFlag.ACTING in packet.flags:
-            self._note_acted(packet.flow, now)
+            self._acted.note(packet.flow, now)
         if best.ref == state.config.ref:
             return Placement(packet, Place.TAKE)
         self._pin(packet.flow, best.ref)
@@ -431,43 +418,5 @@
             limits.in_flight,
         )
 
-    def _note_acted(self, flow: FlowKey, now: float) -> None:
-        owner = self._state.routing.find_owner(flow)
-        if owner is None:
-            return
-        self._acted[flow] = (owner.ref, now)
-        if len(self._acted) > MOST_ASKED_FLOWS:
-            self._acted.popitem(last=False)
-
-    def _tell_acted(self, now: float) -> list[Action]:
-        """Tell an absent owner what was placed for it, so that it knows on return."""
-        while self._acted:
-            flow, (_, placed) = next(iter(self._acted.items()))
-            if placed > now - ACTED_KEPT_S:
-                break
-            del self._acted[flow]
-        if not self._acted or now - self._acted_told < ACTED_REPEAT_S:
-            return []
-        self._acted_told = now
-        return [
-            action
-            for member in self._state.routing.eligible
-            for action in self._tell_owner(member)
-        ]
-
-    def _tell_owner(self, owner: Member) -> list[Send]:
-        by_holder: dict[ProcessRef, list[FlowKey]] = {}
-        for flow, (ref, _) in self._acted.items():
-            if ref != owner.ref:
-                continue
-            holder = self._pins.get(flow, self._state.config.ref)
-            by_holder.setdefault(holder, []).append(flow)
-        sends: list[Send] = []
-        for holder, flows in by_holder.items():
-            for first in range(0, len(flows), FLOWS_PER_PART):
-                part = tuple(flows[first : first + FLOWS_PER_PART])
-                sends.append(self._build_note(owner, holder, part))
-        return sends
-
 
 __all__ = ["Ownership", "Place", "Placement"]
--- a/src/balsamstream/daemon/platform_link.py
+++ b/src/balsamstream/daemon/platform_link.py
@@ -18,11 +18,10 @@
 from balsamstream.core.catalogue import (
     BalancerEntry,
     list_spare_voters,
-    read_view,
-    write_view,
 )
 from balsamstream.core.identity import Address, ProcessRef, parse_address
 from balsamstream.core.message import Changes, ConfigObject, EditView
+from balsamstream.core.stored_view import read_view, write_view
 from balsamstream.core.view import View, edit_view
 from balsamstream.kernel import Mailbox, Service
 from balsamstream.platform.watch import (
--- a/tests/core/network.py
+++ b/tests/core/network.py
@@ -16,8 +16,6 @@
     BalancerEntry,
     Catalogue,
     list_spare_voters,
-    read_view,
-    write_view,
 )
 from balsamstream.core.identity import Address, FlowKey, ProcessRef, RequestKey
 from balsamstream.core.message import (
@@ -33,6 +31,7 @@
     Send,
 )
 from balsamstream.core.routing import compute_flow_key
+from balsamstream.core.stored_view import read_view, write_view
 from balsamstream.core.view import View, edit_view
 
 if TYPE_CHECKING:
