--- a/bench/balanced.py
+++ b/bench/balanced.py
@@ -5,20 +5,19 @@
 from random import Random
 from typing import TYPE_CHECKING, Final
 
-from balsamstream.core.agent import AgentConfig, AgentDecisions
-from balsamstream.core.balancer import BalancerConfig, BalancerDecisions
-from balsamstream.core.identity import Address, ProcessRef, RequestKey
-from balsamstream.core.message import (
-    Changes,
+from balsamstream.core.action import (
     CloseFlow,
     Count,
     Deliver,
     EditView,
     RefuseCaller,
-    RequestKind,
     ReturnToCaller,
     Send,
 )
+from balsamstream.core.agent import AgentConfig, AgentDecisions
+from balsamstream.core.balancer import BalancerConfig, BalancerDecisions
+from balsamstream.core.identity import Address, ProcessRef, RequestKey
+from balsamstream.core.message import Changes, RequestKind
 from balsamstream.core.verdict import NotRun
 from tests.core.network import FakePlatform
 
@@ -26,7 +25,8 @@
 from .deployment import WITHIN_DATA_CENTRE_S
 
 if TYPE_CHECKING:
-    from balsamstream.core.message import Action, Message
+    from balsamstream.core.action import Action
+    from balsamstream.core.message import Message
 
     from .backend import BackendServer
     from .caller import Request
--- a/bench/packets.py
+++ b/bench/packets.py
@@ -13,17 +13,11 @@
 
 import xxhash
 
+from balsamstream.core.action import ReturnToCaller, Send
 from balsamstream.core.balancer import BalancerConfig, BalancerDecisions
 from balsamstream.core.catalogue import number_service
 from balsamstream.core.identity import Address, FlowKey, ProcessRef, RequestKey
-from balsamstream.core.message import (
-    Answer,
-    Changes,
-    ConfigObject,
-    RequestKind,
-    ReturnToCaller,
-    Send,
-)
+from balsamstream.core.message import Answer, Changes, ConfigObject, RequestKind
 from balsamstream.core.routing import RoutingVersion, compute_flow_key
 from balsamstream.core.stored_view import write_view
 from balsamstream.core.view import Member, View
--- a/bench/whole.py
+++ b/bench/whole.py
@@ -8,8 +8,8 @@
 import time
 from typing import TYPE_CHECKING, Any, Final
 
+from balsamstream.core.action import Send
 from balsamstream.core.identity import Address, ProcessRef
-from balsamstream.core.message import Send
 from balsamstream.daemon.edge import Edge
 from balsamstream.daemon.metrics import Metrics
 from balsamstream.daemon.settings import EdgeSettings, Key
--- a/model/claims.py
+++ b/model/claims.py
@@ -13,22 +13,19 @@
 
 from balsamstream.config.objects import Profile
 from balsamstream.core import view as view_module
+from balsamstream.core.action import Action, Deliver, RefuseCaller, Send
 from balsamstream.core.admission import Admission
 from balsamstream.core.claim import VoterRole
 from balsamstream.core.identity import Address, FlowKey, ProcessRef, RequestKey
 from balsamstream.core.message import (
-    Action,
     ClaimAsk,
     ClaimOutcome,
     ClaimReply,
-    Deliver,
     Packet,
     Refusal,
-    RefuseCaller,
     RequestKind,
     SealAsk,
     SealReply,
-    Send,
 )
 from balsamstream.core.refusal import RefusalRounds
 from balsamstream.core.routing import Routing, RoutingVersion
--- a/model/flows.py
+++ b/model/flows.py
@@ -11,13 +11,11 @@
 from typing import TYPE_CHECKING, Any, Final, NamedTuple
 
 from balsamstream.core import ownership
+from balsamstream.core.action import Action, Deliver, EditView, Send
 from balsamstream.core.agent import MOST_HOPS, AgentDecisions
 from balsamstream.core.identity import Address, FlowKey, RequestKey
 from balsamstream.core.message import (
-    Action,
     Changes,
-    Deliver,
-    EditView,
     HolderAsk,
     HolderReply,
     LoadReport,
@@ -26,7 +24,6 @@
     ReportAsk,
     ReportReply,
     RequestKind,
-    Send,
 )
 from balsamstream.core.routing import Routing, compute_flow_key
 from balsamstream.core.stored_view import read_view
--- a/src/balsamstream/core/acted.py
+++ b/src/balsamstream/core/acted.py
@@ -5,14 +5,15 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING, Final
 
-from .message import ReportReply, Send
+from .action import Send
+from .message import ReportReply
 from .routing import RoutingVersion
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from .action import Action
     from .identity import FlowKey, ProcessRef
-    from .message import Action
     from .state import AgentState
     from .view import Member
 
--- /dev/null
+++ b/src/balsamstream/core/action.py
@@ -0,0 +1,121 @@
+"""What decisions ask their process to do."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .identity import Address, FlowKey, RequestKey
+    from .message import Message
+    from .verdict import MayHaveRun, NotRun
+    from .view import ViewEdit
+
+
+@dataclass(slots=True)
+class Send:
+    """Send a message to a process of the system."""
+
+    to: Address
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class Deliver:
+    """Give a datagram to the backend server on the flow's own socket."""
+
+    flow: FlowKey
+    caller: Address
+    request: RequestKey
+    deadline_ms: int
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """Tell the backend server that nobody waits for a request any more."""
+
+    flow: FlowKey
+    request: RequestKey
+
+
+@dataclass(frozen=True, slots=True)
+class OpenFlow:
+    """Open the flow's socket ahead of its next datagram."""
+
+    flow: FlowKey
+
+
+@dataclass(frozen=True, slots=True)
+class CloseFlow:
+    """Close the flow's socket.
+
+    Parameters
+    ----------
+    is_kept : bool
+        Another process goes on with the flow: the backend server is told nothing.
+    """
+
+    flow: FlowKey
+    is_kept: bool = False
+
+
+@dataclass(slots=True)
+class ReturnToCaller:
+    """Send a datagram out of the edge."""
+
+    service: int
+    caller: Address
+    payload: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class RefuseCaller:
+    """Have the edge build a refusal from the first bytes of a datagram."""
+
+    service: int
+    caller: Address
+    verdict: NotRun | MayHaveRun
+    head: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class EditView:
+    """Change a view on the platform by conditional update."""
+
+    service: str
+    edit: ViewEdit
+
+
+@dataclass(frozen=True, slots=True)
+class Count:
+    """Add to a counter."""
+
+    name: str
+    amount: int = 1
+
+
+Action = (
+    Send
+    | Deliver
+    | Cancel
+    | OpenFlow
+    | CloseFlow
+    | ReturnToCaller
+    | RefuseCaller
+    | EditView
+    | Count
+)
+
+__all__ = [
+    "Action",
+    "Cancel",
+    "CloseFlow",
+    "Count",
+    "Deliver",
+    "EditView",
+    "OpenFlow",
+    "RefuseCaller",
+    "ReturnToCaller",
+    "Send",
+]
--- a/src/balsamstream/core/agent.py
+++ b/src/balsamstream/core/agent.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from ..config.objects import WorkClass
+from .action import Cancel, CloseFlow, Count, Deliver, EditView, Send
 from .admission import Admission, Health
 from .claim import VoterRole
 from .follower import Follower
@@ -14,15 +15,10 @@
 from .membership import Membership
 from .message import (
     Answer,
-    Cancel,
     Changes,
     ChangesAsk,
     ClaimAsk,
     ClaimReply,
-    CloseFlow,
-    Count,
-    Deliver,
-    EditView,
     HolderAsk,
     HolderReply,
     LoadReport,
@@ -34,7 +30,6 @@
     RequestKind,
     SealAsk,
     SealReply,
-    Send,
     TakeoverAsk,
     TakeoverPart,
 )
@@ -49,8 +44,9 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from .action import Action
     from .identity import Address, FlowKey, RequestKey
-    from .message import Action, Message
+    from .message import Message
     from .ownership import Placement
     from .view import Member
 
--- a/src/balsamstream/core/balancer.py
+++ b/src/balsamstream/core/balancer.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from .action import Count, EditView, RefuseCaller, ReturnToCaller, Send
 from .catalogue import Catalogue, number_service
 from .claim import VoterRole
 from .distribution import Distribution
@@ -16,19 +17,14 @@
     ChangesAsk,
     ClaimAsk,
     ClaimReply,
-    Count,
-    EditView,
     Packet,
     PacketFlag,
     Ping,
     Pong,
     Refusal,
-    RefuseCaller,
     RequestKind,
-    ReturnToCaller,
     SealAsk,
     SealReply,
-    Send,
 )
 from .refusal import RefusalRounds
 from .routing import Routing
@@ -38,9 +34,10 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from .action import Action
     from .catalogue import ServiceEntry
     from .identity import Address, FlowKey, ProcessRef, RequestKey
-    from .message import Action, ConfigObject, Message
+    from .message import ConfigObject, Message
     from .routing import RoutingVersion
     from .view import Member
 
--- a/src/balsamstream/core/claim.py
+++ b/src/balsamstream/core/claim.py
@@ -13,8 +13,9 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from .action import Send
 from .identity import NOBODY, ProcessRef, RequestKey
-from .message import ClaimAsk, ClaimOutcome, ClaimReply, SealAsk, SealReply, Send
+from .message import ClaimAsk, ClaimOutcome, ClaimReply, SealAsk, SealReply
 from .view import TrimVoterSets
 
 if TYPE_CHECKING:
--- a/src/balsamstream/core/distribution.py
+++ b/src/balsamstream/core/distribution.py
@@ -6,16 +6,17 @@
 
 import xxhash
 
+from .action import Send
 from .follower import Follower
-from .message import ChangesAsk, Send
+from .message import ChangesAsk
 
 if TYPE_CHECKING:
     from random import Random
 
+    from .action import Action
     from .balancer import BalancerConfig
     from .catalogue import BalancerEntry, Catalogue
     from .identity import Address
-    from .message import Action
 
 READERS_PER_DATA_CENTRE: Final = 2
 CHILDREN_PER_BALANCER: Final = 16
--- a/src/balsamstream/core/follower.py
+++ b/src/balsamstream/core/follower.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING, Final
 
-from .message import ChangesAsk, Send
+from .action import Send
+from .message import ChangesAsk
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/src/balsamstream/core/liveness.py
+++ b/src/balsamstream/core/liveness.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING, Final
 
-from .message import Ping, Send
+from .action import Send
+from .message import Ping
 
 if TYPE_CHECKING:
     from .identity import Address
--- a/src/balsamstream/core/membership.py
+++ b/src/balsamstream/core/membership.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING, Final
 
-from .message import EditView
+from .action import EditView
 from .view import Join, Leave, Member, MemberState, Return, SetState
 
 if TYPE_CHECKING:
-    from .message import Action
+    from .action import Action
     from .state import AgentState
     from .view import ViewEdit
 
--- a/src/balsamstream/core/message.py
+++ b/src/balsamstream/core/message.py
@@ -1,4 +1,4 @@
-"""Messages between balancers and agents, and the actions that decisions ask for."""
+"""Messages between balancers and agents."""
 
 from __future__ import annotations
 
@@ -6,13 +6,12 @@
 from enum import Enum, IntEnum, IntFlag
 from typing import TYPE_CHECKING, Any
 
-from .identity import NO_ADDRESS, NO_REQUEST, NOBODY, Address, FlowKey, RequestKey
+from .identity import NOBODY, Address, FlowKey, RequestKey
 
 if TYPE_CHECKING:
     from .identity import ProcessRef
     from .routing import RoutingVersion
     from .verdict import MayHaveRun, NotRun
-    from .view import ViewEdit
 
 
 class RequestKind(IntEnum):
@@ -383,142 +382,29 @@
     | Changes
 )
 
-
-# --- actions -----------------------------------------------------------------------
-
-
-@dataclass(slots=True)
-class Send:
-    """Send a message to a process of the system."""
-
-    to: Address
-    message: Message
-
-
-@dataclass(frozen=True, slots=True)
-class Deliver:
-    """Give a datagram to the backend server on the flow's own socket."""
-
-    flow: FlowKey
-    caller: Address
-    request: RequestKey
-    deadline_ms: int
-    payload: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Cancel:
-    """Tell the backend server that nobody waits for a request any more."""
-
-    flow: FlowKey
-    request: RequestKey
-
-
-@dataclass(frozen=True, slots=True)
-class OpenFlow:
-    """Open the flow's socket ahead of its next datagram."""
-
-    flow: FlowKey
-
-
-@dataclass(frozen=True, slots=True)
-class CloseFlow:
-    """Close the flow's socket.
-
-    Parameters
-    ----------
-    is_kept : bool
-        Another process goes on with the flow: the backend server is told nothing.
-    """
-
-    flow: FlowKey
-    is_kept: bool = False
-
-
-@dataclass(slots=True)
-class ReturnToCaller:
-    """Send a datagram out of the edge."""
-
-    service: int
-    caller: Address
-    payload: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class RefuseCaller:
-    """Have the edge build a refusal from the first bytes of a datagram."""
-
-    service: int
-    caller: Address
-    verdict: NotRun | MayHaveRun
-    head: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class EditView:
-    """Change a view on the platform by conditional update."""
-
-    service: str
-    edit: ViewEdit
-
-
-@dataclass(frozen=True, slots=True)
-class Count:
-    """Add to a counter."""
-
-    name: str
-    amount: int = 1
-
-
-Action = (
-    Send
-    | Deliver
-    | Cancel
-    | OpenFlow
-    | CloseFlow
-    | ReturnToCaller
-    | RefuseCaller
-    | EditView
-    | Count
-)
-
 __all__ = [
-    "NOBODY",
-    "NO_ADDRESS",
-    "NO_REQUEST",
-    "Action",
-    "Address",
     "Answer",
-    "Cancel",
     "Changes",
     "ChangesAsk",
     "ClaimAsk",
     "ClaimOutcome",
     "ClaimReply",
-    "CloseFlow",
     "ConfigObject",
-    "Count",
-    "Deliver",
-    "EditView",
     "HeldFlow",
     "HolderAsk",
     "HolderReply",
     "LoadReport",
     "Message",
-    "OpenFlow",
     "Packet",
     "PacketFlag",
     "Ping",
     "Pong",
     "Refusal",
-    "RefuseCaller",
     "ReportAsk",
     "ReportReply",
     "RequestKind",
-    "ReturnToCaller",
     "SealAsk",
     "SealReply",
-    "Send",
     "TakeoverAsk",
     "TakeoverPart",
 ]
--- a/src/balsamstream/core/neighbours.py
+++ b/src/balsamstream/core/neighbours.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from .message import Count, EditView
+from .action import Count, EditView
 from .view import MemberState, SetState
 
 if TYPE_CHECKING:
+    from .action import Action
     from .identity import ProcessRef
-    from .message import Action
     from .state import AgentState
 
 LOOK_EVERY_S: Final = 0.5
--- a/src/balsamstream/core/ownership.py
+++ b/src/balsamstream/core/ownership.py
@@ -8,22 +8,22 @@
 from typing import TYPE_CHECKING, Final
 
 from .acted import FIRST, FLOWS_PER_PART, ActedFlows, build_note
+from .action import Count, Send
 from .budget import RetryBudget
 from .load import FULL, estimate_load
 from .message import (
-    Count,
     HolderAsk,
     HolderReply,
     PacketFlag,
     ReportAsk,
     ReportReply,
     RequestKind,
-    Send,
 )
 
 if TYPE_CHECKING:
+    from .action import Action
     from .identity import Address, FlowKey, ProcessRef
-    from .message import Action, Packet
+    from .message import Packet
     from .state import AgentState
     from .view import Member
 
--- a/src/balsamstream/core/refusal.py
+++ b/src/balsamstream/core/refusal.py
@@ -5,18 +5,19 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from .action import Count, RefuseCaller
 from .claim import ClaimRound, Refused
 from .identity import NOBODY
-from .message import Count, RefuseCaller
 from .verdict import MayHaveRun, NotRun
 
 if TYPE_CHECKING:
     from random import Random
 
     from ..config.objects import Profile
+    from .action import Action
     from .claim import ClaimResult
     from .identity import Address, RequestKey
-    from .message import Action, ClaimReply
+    from .message import ClaimReply
     from .view import View
 
 MOST_ROUNDS: Final = 2_000
--- a/src/balsamstream/core/single_run.py
+++ b/src/balsamstream/core/single_run.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Final
 
 from ..config.objects import WorkClass
+from .action import Count, Deliver, Send
 from .claim import (
     CLAIM_KEPT_S,
     ClaimRound,
@@ -18,19 +19,14 @@
     Won,
 )
 from .identity import NOBODY, ProcessRef
-from .message import (
-    Answer,
-    Count,
-    Deliver,
-    PacketFlag,
-    Send,
-)
+from .message import Answer, PacketFlag
 from .verdict import MayHaveRun, NotRun
 
 if TYPE_CHECKING:
+    from .action import Action
     from .claim import ClaimResult
     from .identity import RequestKey
-    from .message import Action, ClaimReply, Packet
+    from .message import ClaimReply, Packet
     from .state import AgentState
 
 MOST_RECORDS: Final = 20_000
--- a/src/balsamstream/core/state.py
+++ b/src/balsamstream/core/state.py
@@ -5,11 +5,12 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from .action import Send
 from .catalogue import Catalogue, number_service
 from .flows import FlowTable
 from .identity import NO_ADDRESS, Address, ProcessRef
 from .load import PeerLoads
-from .message import Refusal, Send
+from .message import Refusal
 from .routing import Routing
 from .verdict import MayHaveRun, NotRun
 from .view import View
--- a/src/balsamstream/core/takeover.py
+++ b/src/balsamstream/core/takeover.py
@@ -5,21 +5,14 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
-from .message import (
-    CloseFlow,
-    Count,
-    HeldFlow,
-    OpenFlow,
-    PacketFlag,
-    Send,
-    TakeoverAsk,
-    TakeoverPart,
-)
+from .action import CloseFlow, Count, OpenFlow, Send
+from .message import HeldFlow, PacketFlag, TakeoverAsk, TakeoverPart
 
 if TYPE_CHECKING:
+    from .action import Action
     from .flows import Flow
     from .identity import Address, FlowKey
-    from .message import Action, Packet
+    from .message import Packet
     from .state import AgentState
     from .view import Member
 
--- a/src/balsamstream/daemon/agent.py
+++ b/src/balsamstream/daemon/agent.py
@@ -5,21 +5,20 @@
 import random
 from typing import TYPE_CHECKING, Any, Final
 
-from balsamstream.core.agent import AgentConfig, AgentDecisions
-from balsamstream.core.identity import NO_REQUEST, Address
-from balsamstream.core.message import (
+from balsamstream.core.action import (
     Cancel,
-    Changes,
     CloseFlow,
     Count,
     Deliver,
     EditView,
     OpenFlow,
-    Refusal,
     RefuseCaller,
     ReturnToCaller,
     Send,
 )
+from balsamstream.core.agent import AgentConfig, AgentDecisions
+from balsamstream.core.identity import NO_REQUEST, Address
+from balsamstream.core.message import Changes, Refusal
 from balsamstream.edge.protocols import find_protocol
 from balsamstream.report.burn import HostLoad
 
@@ -31,8 +30,9 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from balsamstream.core.action import Action
     from balsamstream.core.identity import FlowKey, ProcessRef, RequestKey
-    from balsamstream.core.message import Action, Message
+    from balsamstream.core.message import Message
     from balsamstream.kernel import Kernel
 
     from .settings import AgentSettings, Settings
--- a/src/balsamstream/daemon/backend.py
+++ b/src/balsamstream/daemon/backend.py
@@ -17,8 +17,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from balsamstream.core.action import Cancel, CloseFlow, Deliver
     from balsamstream.core.identity import Address, FlowKey, RequestKey
-    from balsamstream.core.message import Cancel, CloseFlow, Deliver
     from balsamstream.edge.protocol import AnswerMatcher
     from balsamstream.edge.protocol import Protocol as EdgeProtocol
 
--- a/src/balsamstream/daemon/balancer.py
+++ b/src/balsamstream/daemon/balancer.py
@@ -6,19 +6,18 @@
 import random
 from typing import TYPE_CHECKING, Any, Final
 
-from balsamstream.core.balancer import BalancerConfig, BalancerDecisions
-from balsamstream.core.message import (
+from balsamstream.core.action import (
     Cancel,
-    Changes,
     CloseFlow,
     Count,
     Deliver,
     EditView,
-    Refusal,
     RefuseCaller,
     ReturnToCaller,
     Send,
 )
+from balsamstream.core.balancer import BalancerConfig, BalancerDecisions
+from balsamstream.core.message import Changes, Refusal
 
 from .edge import Edge
 from .platform_link import Registration
@@ -27,9 +26,10 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from balsamstream.core.action import Action
     from balsamstream.core.catalogue import ServiceEntry
     from balsamstream.core.identity import Address, FlowKey, ProcessRef
-    from balsamstream.core.message import Action, Message
+    from balsamstream.core.message import Message
     from balsamstream.edge.protocol import Classified
     from balsamstream.kernel import Kernel
 
--- a/src/balsamstream/daemon/edge.py
+++ b/src/balsamstream/daemon/edge.py
@@ -23,9 +23,9 @@
     from collections.abc import Callable
 
     from balsamstream.config.objects import Requests
+    from balsamstream.core.action import RefuseCaller, ReturnToCaller
     from balsamstream.core.catalogue import Catalogue, ServiceEntry
     from balsamstream.core.identity import FlowKey
-    from balsamstream.core.message import RefuseCaller, ReturnToCaller
     from balsamstream.edge.protocol import Classified
     from balsamstream.edge.protocol import Protocol as EdgeProtocol
 
--- a/src/balsamstream/daemon/platform_link.py
+++ b/src/balsamstream/daemon/platform_link.py
@@ -20,7 +20,7 @@
     list_spare_voters,
 )
 from balsamstream.core.identity import Address, ProcessRef, parse_address
-from balsamstream.core.message import Changes, ConfigObject, EditView
+from balsamstream.core.message import Changes, ConfigObject
 from balsamstream.core.stored_view import read_view, write_view
 from balsamstream.core.view import View, edit_view
 from balsamstream.kernel import Mailbox, Service
@@ -35,6 +35,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
 
+    from balsamstream.core.action import EditView
     from balsamstream.core.view import ViewEdit, Voter
     from balsamstream.kernel import Kernel
     from balsamstream.platform.client import PlatformClient
--- a/src/balsamstream/daemon/role.py
+++ b/src/balsamstream/daemon/role.py
@@ -19,8 +19,9 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from balsamstream.core.action import Action
     from balsamstream.core.identity import Address, ProcessRef
-    from balsamstream.core.message import Action, Changes, Message
+    from balsamstream.core.message import Changes, Message
     from balsamstream.kernel import Kernel
 
     from .settings import Settings
--- a/tests/core/network.py
+++ b/tests/core/network.py
@@ -10,26 +10,24 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from balsamstream.core.agent import AgentConfig, AgentDecisions
-from balsamstream.core.balancer import BalancerConfig, BalancerDecisions
-from balsamstream.core.catalogue import (
-    BalancerEntry,
-    Catalogue,
-    list_spare_voters,
-)
-from balsamstream.core.identity import Address, FlowKey, ProcessRef, RequestKey
-from balsamstream.core.message import (
-    Changes,
+from balsamstream.core.action import (
     CloseFlow,
-    ConfigObject,
     Count,
     Deliver,
     EditView,
     RefuseCaller,
-    RequestKind,
     ReturnToCaller,
     Send,
 )
+from balsamstream.core.agent import AgentConfig, AgentDecisions
+from balsamstream.core.balancer import BalancerConfig, BalancerDecisions
+from balsamstream.core.catalogue import (
+    BalancerEntry,
+    Catalogue,
+    list_spare_voters,
+)
+from balsamstream.core.identity import Address, FlowKey, ProcessRef, RequestKey
+from balsamstream.core.message import Changes, ConfigObject, RequestKind
 from balsamstream.core.routing import compute_flow_key
 from balsamstream.core.stored_view import read_view, write_view
 from balsamstream.core.view import View, edit_view
@@ -37,7 +35,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from balsamstream.core.message import Action, Message
+    from balsamstream.core.action import Action
+    from balsamstream.core.message import Message
     from balsamstream.core.verdict import MayHaveRun, NotRun
 
 TICK_S = 0.05
--- a/tests/core/test_wrong_service.py
+++ b/tests/core/test_wrong_service.py
@@ -4,6 +4,7 @@
 
 from dataclasses import replace
 
+from balsamstream.core.action import Count
 from balsamstream.core.identity import (
     NO_REQUEST,
     Address,
@@ -13,7 +14,6 @@
 )
 from balsamstream.core.message import (
     ClaimAsk,
-    Count,
     HolderAsk,
     LoadReport,
     Message,
--- a/tests/daemon/test_backend.py
+++ b/tests/daemon/test_backend.py
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING
 
 from balsamstream.config.objects import Protocol
+from balsamstream.core.action import Cancel, CloseFlow, Deliver
 from balsamstream.core.identity import NO_REQUEST, Address, FlowKey, RequestKey
-from balsamstream.core.message import Cancel, CloseFlow, Deliver
 from balsamstream.daemon.backend import BackendSockets
 from balsamstream.edge.coap_message import MessageType, build_message, build_option
 from balsamstream.edge.protocols import find_protocol
--- a/tests/daemon/test_edge.py
+++ b/tests/daemon/test_edge.py
@@ -7,15 +7,10 @@
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
+from balsamstream.core.action import RefuseCaller, ReturnToCaller
 from balsamstream.core.catalogue import Catalogue, ServiceEntry, number_service
 from balsamstream.core.identity import Address, FlowKey
-from balsamstream.core.message import (
-    Changes,
-    ConfigObject,
-    RefuseCaller,
-    RequestKind,
-    ReturnToCaller,
-)
+from balsamstream.core.message import Changes, ConfigObject, RequestKind
 from balsamstream.core.routing import compute_flow_key
 from balsamstream.core.verdict import NotRun
 from balsamstream.daemon.edge import Edge
--- a/tests/daemon/test_platform_link.py
+++ b/tests/daemon/test_platform_link.py
@@ -10,8 +10,9 @@
 from returns.result import Success
 
 from balsamstream.config import Kind
+from balsamstream.core.action import EditView
 from balsamstream.core.identity import Address, ProcessRef
-from balsamstream.core.message import Changes, ConfigObject, EditView
+from balsamstream.core.message import Changes, ConfigObject
 from balsamstream.core.view import Join, Member, SetState
 from balsamstream.core.view import MemberState as State
 from balsamstream.daemon.platform_link import (
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -7,19 +7,10 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
+from balsamstream.core.action import Action, Cancel, CloseFlow, Deliver, EditView, Send
 from balsamstream.core.agent import AgentConfig, AgentDecisions
 from balsamstream.core.identity import NO_REQUEST, Address, FlowKey, ProcessRef
-from balsamstream.core.message import (
-    Action,
-    Cancel,
-    CloseFlow,
-    Deliver,
-    EditView,
-    Refusal,
-    RequestKey,
-    RequestKind,
-    Send,
-)
+from balsamstream.core.message import Refusal, RequestKey, RequestKind
 from balsamstream.core.routing import compute_flow_key
 from balsamstream.core.single_run import CLAIM_GIVE_UP_S
 from balsamstream.core.verdict import NotRun
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -7,12 +7,7 @@
 from hypothesis import strategies as st
 
 from balsamstream.core.identity import Address, FlowKey, RequestKey
-from balsamstream.core.message import (
-    Changes,
-    Message,
-    Packet,
-    RequestKind,
-)
+from balsamstream.core.message import Changes, Message, Packet, RequestKind
 from balsamstream.core.routing import RoutingVersion
 from balsamstream.wire.codec import decode_message, encode_message
 from balsamstream.wire.control import MOST_CONTROL_BYTES
