Return crossing packets to the host that a flow was passed on to

Cause: a host that passed a refused placement back to its owner took the owner's next packet, which had crossed the first, for a sign that the flow had ended, and opened it on a third host; and a flow that waited for its holder while the last active host was drained raised an error. Now a pin made by passing on stands for a second. Ruled out: always returning to the sender, which never ends where two pins point at each other.

--- a/src/balsamstream/core/ownership.py
+++ b/src/balsamstream/core/ownership.py
@@ -31,6 +31,9 @@
 MOST_ASKED_FLOWS: Final = 2_000
 MOST_WAITING_PACKETS: Final = 8
 HOLDER_WAIT_S: Final = 0.2
+CROSSING_S: Final = 1.0
+"""Longer than packets of one flow that were sent together stay apart."""
+
 REPORT_REPEAT_S: Final = 0.2
 REPORT_GIVE_UP_S: Final = 3.0
 
@@ -86,6 +89,7 @@
         self._asked: dict[FlowKey, _Asked] = {}
         self._reporting: dict[ProcessRef, _Reporting] = {}
         self._acted = ActedFlows(state)
+        self._passed_on: OrderedDict[FlowKey, float] = OrderedDict()
         self._budget = RetryBudget()
 
     @property
@@ -225,6 +229,7 @@
         for flow, asked in list(self._asked.items()):
             if now >= asked.until:
                 placements += self._release(flow, now)
+        self._forget_passed_on(now)
         actions += self._acted.tell_owners(self._pins, now)
         return placements, actions
 
@@ -245,7 +250,8 @@
 
     def _take_placed(self, packet: Packet, sender: Address, now: float) -> Placement:
         pinned = self._find_pinned(packet.flow, now)
-        if pinned is not None and pinned.address == sender:
+        came_back = pinned is not None and pinned.address == sender
+        if came_back and packet.flow not in self._passed_on:
             # The flow was there once and is not any more.
             del self._pins[packet.flow]
         elif pinned is not None:
@@ -288,10 +294,24 @@
         if best is None or not self._budget.take():
             return Placement(packet, Place.REFUSE, (Count("placed_refused"),))
         self._pin(packet.flow, best.ref)
+        self._note_passed_on(packet.flow, now)
         self._state.loads.count_placed(best.ref.name, now)
         passed = self._pass(packet, best, PacketFlag.PLACED, "placed_again")
         return replace(passed, actions=(*passed.actions, *self._tell_pin(packet.flow)))
 
+    def _note_passed_on(self, flow: FlowKey, now: float) -> None:
+        """Remember that packets of a flow may cross the one just passed on."""
+        self._passed_on[flow] = now
+        if len(self._passed_on) > MOST_ASKED_FLOWS:
+            self._passed_on.popitem(last=False)
+
+    def _forget_passed_on(self, now: float) -> None:
+        while self._passed_on:
+            flow, passed = next(iter(self._passed_on.items()))
+            if passed > now - CROSSING_S:
+                return
+            del self._passed_on[flow]
+
     def _tell_pin(self, flow: FlowKey) -> list[Send]:
         """Tell a flow's owner, whose pin names this host, where it went instead."""
         owner = self._state.routing.find_owner(flow)
--- a/src/balsamstream/core/routing.py
+++ b/src/balsamstream/core/routing.py
@@ -122,12 +122,14 @@
         return ranked[0] if ranked else None
 
     def list_candidates(self, flow: FlowKey, choices: int) -> list[Member]:
-        """Return the hosts to compare for a new flow, its owner first.
+        """Return the hosts to compare for a new flow, its owner first, if there is one.
 
         The others are chosen by the flow: chosen by its bucket, they would make each
         owner share with few hosts.
         """
-        owner = self.rank(flow)[0]
+        owner = self.find_owner(flow)
+        if owner is None:
+            return []
         others = [member for member in self.eligible if member is not owner]
         if len(others) < choices:
             return [owner, *others]
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -5,6 +5,7 @@
 from balsamstream.core.identity import Address, RequestKey
 from balsamstream.core.message import LoadReport, Packet, RequestKind
 from balsamstream.core.routing import Routing, compute_flow_key
+from balsamstream.core.view import View
 from tests.core.network import Network
 
 
@@ -146,3 +147,25 @@
     network.settle()
     assert len(network.runs) == 2
     assert len({run.host for run in network.runs}) == 1
+
+
+def test_packets_that_cross_one_passed_on_open_the_flow_once() -> None:
+    network = build_network(3)
+    routing = network.agents["comptoir-0"].state.routing
+    caller = find_caller(network, ["comptoir-0"], [routing])
+    flow = compute_flow_key("comptoir", caller)
+    full = network.agents["comptoir-1"].state
+    full.most_flows = 0
+    ref = full.config.ref
+    network.agents["comptoir-0"].ownership._pin(flow, ref)
+    report_load(network, "comptoir-1", "comptoir-0", 0)
+    for request in (1, 2):
+        network.send_request("balancer-1", "comptoir", caller, request)
+    network.settle()
+    assert len({run.host for run in network.runs}) == 1
+
+
+def test_routing_without_active_hosts_compares_none() -> None:
+    routing = Routing(View("comptoir", 1), frozenset(), 0)
+    flow = compute_flow_key("comptoir", Address("127.0.0.1", 40_000))
+    assert routing.list_candidates(flow, 2) == []
