Let the watch wait for room in place of losing a change

Cause: a change that found the mailbox full was dropped and counted; the platform shows it once, so a balancer that is the only watcher had a gap for good. Ruled out: a larger mailbox, which a returning data centre fills too. The test shows 40 changes in order through a taker without room; the loss itself was read off the code, not seen.

--- a/src/balsamstream/daemon/platform_link.py
+++ b/src/balsamstream/daemon/platform_link.py
@@ -33,7 +33,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Sequence
+    from collections.abc import Awaitable, Callable, Iterable, Sequence
 
     from balsamstream.core.action import EditView
     from balsamstream.core.view import ViewEdit, Voter
@@ -88,7 +88,7 @@
     metrics : Metrics
         Counts what failed.
     take : callable
-        Takes changes.
+        Takes changes, in order.
     """
 
     def __init__(
@@ -96,7 +96,7 @@
         kernel: Kernel,
         client: PlatformClient,
         metrics: Metrics,
-        take: Callable[[Changes], None],
+        take: Callable[[Changes], Awaitable[None]],
     ) -> None:
         self._kernel = kernel
         self._client = client
@@ -190,7 +190,7 @@
                     edit=type(action.edit).__name__,
                     number=stored.spec.get("number"),
                 )
-                self._take(_convert_some([stored]))
+                await self._take(_convert_some([stored]))
             case Failure(error):
                 self._metrics.count("view_edits_failed")
                 self._log.warning(
@@ -221,7 +221,7 @@
                 self._metrics.count("watch_interrupted")
                 continue
             seen = changes.up_to
-            self._take(changes)
+            await self._take(changes)
 
     async def _fetch(self, service: str) -> None:
         try:
@@ -231,7 +231,7 @@
         if not objects:
             self._metrics.count("platform_fetch_failed")
             return
-        self._take(_convert_some(objects))
+        await self._take(_convert_some(objects))
 
     async def _read_service(self, service: str) -> list[StoredObject]:
         """Read a service, its profile and view, data centres and balancers."""
@@ -273,7 +273,7 @@
         result = await self._client.change(Kind.BALANCER, name, announce)
         match result:
             case Success(stored):
-                self._take(_convert_some([stored]))
+                await self._take(_convert_some([stored]))
                 return True
             case Failure(error):
                 self._log.warning("register_failed", error=str(error)[:200])
--- a/src/balsamstream/daemon/role.py
+++ b/src/balsamstream/daemon/role.py
@@ -112,10 +112,12 @@
     def discard_queued(self) -> int:
         """Drop what is queued in the sockets besides the transport's."""
 
-    def take_changes(self, changes: Changes) -> None:
-        """Queue changes that the platform showed."""
-        if not self._changes.offer(changes):
-            self.metrics.count("lost.changes")
+    async def take_changes(self, changes: Changes) -> None:
+        """Queue changes that the platform showed, waiting for room.
+
+        The platform shows each change once: one that is lost leaves a gap for good.
+        """
+        await self._changes.put(changes)
 
     def check_pause(self) -> None:
         """Notice a pause before anything queued meanwhile is handled."""
--- a/tests/daemon/test_platform_link.py
+++ b/tests/daemon/test_platform_link.py
@@ -46,6 +46,7 @@
     client: PlatformClient
     url: str
     taken: list[Changes] = field(default_factory=list)
+    has_room: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def read_spec(self, kind: Kind, name: str) -> dict[str, Any] | None:
         """Read an object's spec from the platform."""
@@ -57,11 +58,18 @@
 async def run_link() -> AsyncIterator[Bench]:
     async with open_platform() as (_, url), open_client(url) as client:
         taken: list[Changes] = []
+        has_room = asyncio.Event()
+        has_room.set()
+
+        async def take(changes: Changes) -> None:
+            await has_room.wait()
+            taken.append(changes)
+
         kernel = Kernel()
-        link = PlatformLink(kernel, client, make_metrics(), taken.append)
+        link = PlatformLink(kernel, client, make_metrics(), take)
         await link.start()
         try:
-            yield Bench(link, client, url, taken)
+            yield Bench(link, client, url, taken, has_room)
         finally:
             await link.close()
         assert kernel.failure is None
@@ -117,6 +125,30 @@
     asyncio.run(run())
 
 
+def test_the_watch_waits_for_room_and_loses_no_change() -> None:
+    async def run() -> None:
+        async with run_link() as bench:
+            bench.has_room.clear()
+            await bench.link.set_watching(True)
+            names = [f"place-{number}" for number in range(40)]
+            for name in names:
+                await bench.client.create(Kind.DATA_CENTRE, name, {"state": "in"})
+            bench.has_room.set()
+            shown: set[str] = set()
+
+            def has_all() -> bool:
+                for changes in bench.taken:
+                    shown.update(found.name for found in changes.objects)
+                return shown >= set(names)
+
+            await wait_until(has_all)
+            for before, after in zip(bench.taken, bench.taken[1:]):
+                assert after.since == before.up_to
+            await bench.link.set_watching(False)
+
+    asyncio.run(run())
+
+
 def test_an_agent_reads_what_concerns_its_service() -> None:
     async def run() -> None:
         async with run_link() as bench:
