Keep the pins of flows that were just passed on

Cause: a change of the view dropped a pin that a full host had made a moment before by passing a flow on, and a note that a flow had come back replaced the owner's pin of where it went next; a second packet then opened the flow on another host. Both tests failed first.

--- a/src/balsamstream/core/ownership.py
+++ b/src/balsamstream/core/ownership.py
@@ -110,7 +110,9 @@
         """
         me = self._state.config.ref
         for flow in list(self._pins):
-            if flow not in self._acted and not self._owns(me, flow):
+            if flow in self._acted or flow in self._passed_on:
+                continue
+            if not self._owns(me, flow):
                 del self._pins[flow]
         self._reporting = {
             member.ref: _Reporting(member, now, now)
@@ -350,6 +352,9 @@
         return member
 
     def _pin(self, flow: FlowKey, host: ProcessRef) -> None:
+        if host == self._state.config.ref:
+            # What is held here is in the flow table; a pin may name where it went.
+            return
         self._pins[flow] = host
         self._pins.move_to_end(flow)
         if len(self._pins) > MOST_PINS:
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -2,9 +2,17 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from balsamstream.core.identity import Address, RequestKey
-from balsamstream.core.message import LoadReport, Packet, RequestKind
-from balsamstream.core.routing import Routing, compute_flow_key
+from balsamstream.core.message import (
+    LoadReport,
+    Packet,
+    PacketFlag,
+    ReportReply,
+    RequestKind,
+)
+from balsamstream.core.routing import Routing, RoutingVersion, compute_flow_key
 from balsamstream.core.view import View
 from tests.core.network import Network
 
@@ -169,3 +177,32 @@
     routing = Routing(View("comptoir", 1), frozenset(), 0)
     flow = compute_flow_key("comptoir", Address("127.0.0.1", 40_000))
     assert routing.list_candidates(flow, 2) == []
+
+
+def test_note_that_a_flow_came_back_replaces_no_pin_of_where_it_went() -> None:
+    network = build_network(3)
+    owner = network.agents["comptoir-0"]
+    flow = compute_flow_key("comptoir", Address("127.0.0.1", 40_000))
+    owner.ownership._pin(flow, network.agents["comptoir-2"].state.config.ref)
+    me = owner.state.config.ref
+    note = ReportReply("comptoir", RoutingVersion(0, 0), me, -1, False, (flow,))
+    owner.receive(Address("127.0.0.1", 1), note, network.now)
+    assert owner.ownership.find_pin(flow) == "comptoir-2"
+
+
+def test_change_of_the_view_leaves_a_flow_where_it_was_just_passed_on() -> None:
+    network = build_network(3)
+    routing = network.agents["comptoir-0"].state.routing
+    caller = find_caller(network, ["comptoir-0"], [routing])
+    flow = compute_flow_key("comptoir", caller)
+    passing = network.agents["comptoir-1"]
+    passing.state.most_flows = 0
+    passing.ownership.place(
+        replace(build_packet(network, caller, 1), flags=PacketFlag.PLACED),
+        network.agents["comptoir-0"].state.config.address,
+        network.now,
+    )
+    pinned = passing.ownership.find_pin(flow)
+    passing.ownership.start_sync(network.now)
+    assert pinned is not None
+    assert passing.ownership.find_pin(flow) == pinned
