Pass waiting packets on when their bucket found another owner meanwhile

Cause: an owner that asked for a flow's holder placed the flow after the wait even if a change of the view had given the bucket to another host, which placed it too. The test failed first. Ruled out: dropping what waits at a change of the view, which loses packets in silence.

--- a/src/balsamstream/core/ownership.py
+++ b/src/balsamstream/core/ownership.py
@@ -394,13 +394,21 @@
                 continue
             pinned = self._find_pinned(flow, now)
             if pinned is None:
-                placements.append(self._place_new(packet, now))
+                placements.append(self._place_or_pass(packet, now))
                 continue
             placements.append(
                 self._pass(packet, pinned, PacketFlag.PLACED, "passed_to_holder")
             )
         return placements
 
+    def _place_or_pass(self, packet: Packet, now: float) -> Placement:
+        """Place a flow, unless its bucket passed to another host during the wait."""
+        owner = self._state.routing.find_owner(packet.flow)
+        me = self._state.config.ref
+        if owner is None or owner.ref == me or PacketFlag.ACTING in packet.flags:
+            return self._place_new(packet, now)
+        return self._pass(packet, owner, PacketFlag.NONE, "passed_to_owner")
+
     def _place_new(self, packet: Packet, now: float) -> Placement:
         """Put a flow on the least loaded of the hosts that the profile compares."""
         if packet.kind is RequestKind.NONE:
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -4,7 +4,8 @@
 
 from dataclasses import replace
 
-from balsamstream.core.identity import Address, RequestKey
+from balsamstream.core.action import Send
+from balsamstream.core.identity import Address, ProcessRef, RequestKey
 from balsamstream.core.message import (
     LoadReport,
     Packet,
@@ -12,8 +13,9 @@
     ReportReply,
     RequestKind,
 )
+from balsamstream.core.ownership import Place
 from balsamstream.core.routing import Routing, RoutingVersion, compute_flow_key
-from balsamstream.core.view import View
+from balsamstream.core.view import Join, Member, View, edit_view
 from tests.core.network import Network
 
 
@@ -206,3 +208,22 @@
     passing.ownership.start_sync(network.now)
     assert pinned is not None
     assert passing.ownership.find_pin(flow) == pinned
+
+
+def test_owner_that_lost_the_bucket_while_asking_passes_the_packet_on() -> None:
+    network = build_network(2)
+    routing = network.agents["comptoir-0"].state.routing
+    view = routing.view
+    joined = Member(ProcessRef("comptoir-9", 9), Address("127.0.0.1", 7999), "m", 2)
+    later = Routing(edit_view(view, Join(joined)), frozenset(), 0)
+    caller = find_caller(network, ["comptoir-0", "comptoir-9"], [routing, later])
+    owner = network.agents["comptoir-0"]
+    owner.ownership.start_sync(network.now)
+    packet = build_packet(network, caller, 1)
+    owner.ownership.place(packet, packet.via, network.now)
+    owner.state.routing = later
+    placements, _ = owner.ownership.tick(network.now + 1.0)
+    (placement,) = placements
+    assert placement.place is Place.PASSED
+    (sent,) = [each for each in placement.actions if isinstance(each, Send)]
+    assert sent.to == joined.address
