--- a/src/balsamstream/core/identity.py
+++ b/src/balsamstream/core/identity.py
@@ -24,9 +24,6 @@
         return f"{self.ip}:{self.port}"
 
 
-NO_ADDRESS: Final = Address("0.0.0.0", 0)
-
-
 def parse_address(text: str) -> Address:
     """Read ``IP:PORT``.
 
@@ -63,7 +60,6 @@
 
 __all__ = [
     "NOBODY",
-    "NO_ADDRESS",
     "NO_REQUEST",
     "Address",
     "FlowKey",
--- a/src/balsamstream/core/state.py
+++ b/src/balsamstream/core/state.py
@@ -8,7 +8,6 @@
 from .action import Send
 from .catalogue import Catalogue, number_service
 from .flows import FlowTable
-from .identity import NO_ADDRESS, Address, ProcessRef
 from .load import PeerLoads
 from .message import Refusal
 from .routing import Routing
@@ -20,6 +19,7 @@
 
     from ..config.objects import Profile
     from .admission import Admission
+    from .identity import Address, ProcessRef
     from .message import Packet
 
 MOST_FLOWS: Final = 60_000
@@ -143,4 +143,4 @@
         return NotRun(self.random.uniform(spread.least, spread.most), reason)
 
 
-__all__ = ["HEAD_BYTES", "NO_ADDRESS", "Address", "AgentConfig", "AgentState"]
+__all__ = ["HEAD_BYTES", "AgentConfig", "AgentState"]
