Let hosts vote before balancers

Cause: a balancer that voted and died was replaced by nobody: no host watches it and its object stays on the platform. Where a service has three hosts they vote now, and a mark of a dead one replaces it at once. The test that a dead host costs one write now counts two, since that host votes: the mark, and the trim of the older set. Left: a service of one or two hosts keeps balancers as voters, which an operator replaces (voters reset) if two die. Ruled out for now: agents that ping voters.

--- a/src/balsamstream/core/view.py
+++ b/src/balsamstream/core/view.py
@@ -276,10 +276,16 @@
 def _choose_voters(
     current: Iterable[Voter], able: Sequence[Voter], spares: Sequence[Voter]
 ) -> tuple[Voter, ...]:
-    """Keep the voters that still serve and fill up across data centres."""
-    candidates = {voter.ref: voter for voter in (*able, *spares)}
-    chosen = [voter for voter in current if voter.ref in candidates]
-    for pool in (able, spares):
+    """Keep the hosts that still serve and fill up across data centres.
+
+    Hosts go before balancers: the other hosts of a service notice one that dies, and
+    its mark in the view replaces it as a voter.
+    """
+    hosts = {voter.ref for voter in able}
+    balancers = {voter.ref for voter in spares}
+    chosen = [voter for voter in current if voter.ref in hosts]
+    kept = [voter for voter in current if voter.ref in balancers]
+    for pool in (able, kept, spares):
         for voter in _order_by_spread(pool, chosen):
             if len(chosen) >= VOTERS_WANTED:
                 break
