--- a/bench/packets.py
+++ b/bench/packets.py
@@ -300,6 +300,29 @@
     return choose
 
 
+def describe_turns(
+    flows: int, times: list[tuple[float, float]], name: str
+) -> dict[str, Any]:
+    """Describe a bare relay beside another way, both timed in turns.
+
+    Parameters
+    ----------
+    times : list of tuple of float
+        Microseconds for a datagram, the bare relay's first.
+    name : str
+        Field for the other way's time.
+    """
+    ratios = [first / second for first, second in times]
+    return {
+        "flows": flows,
+        "bare_us": round(statistics.median(first for first, _ in times), 2),
+        name: round(statistics.median(second for _, second in times), 2),
+        "rate_ratio": round(statistics.median(ratios), 3),
+        "rate_ratio_least": round(min(ratios), 3),
+        "rate_ratio_most": round(max(ratios), 3),
+    }
+
+
 def measure_relays(flows: int, seed: int) -> dict[str, Any]:
     """Time a bare relay and one with our decisions in turns."""
     loopback = Loopback()
@@ -313,15 +336,7 @@
         second = asyncio.run(time_relay(loopback, deciding, batches))
         times.append((first, second))
     loopback.close()
-    ratios = [first / second for first, second in times]
-    return {
-        "flows": flows,
-        "bare_us": round(statistics.median(first for first, _ in times), 2),
-        "deciding_us": round(statistics.median(second for _, second in times), 2),
-        "rate_ratio": round(statistics.median(ratios), 3),
-        "rate_ratio_least": round(min(ratios), 3),
-        "rate_ratio_most": round(max(ratios), 3),
-    }
+    return describe_turns(flows, times, "deciding_us")
 
 
 def _draw_batches(rig: Rig) -> list[list[bytes]]:
--- a/bench/whole.py
+++ b/bench/whole.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import socket
-import statistics
 import time
 from typing import TYPE_CHECKING, Any, Final
 
@@ -27,6 +26,7 @@
     Loopback,
     Rig,
     build_bare,
+    describe_turns,
     time_relay,
 )
 
@@ -165,15 +165,7 @@
         second = asyncio.run(time_balancer(loopback, rig, batches))
         times.append((first, second))
     loopback.close()
-    ratios = [first / second for first, second in times]
-    return {
-        "flows": flows,
-        "bare_us": round(statistics.median(first for first, _ in times), 2),
-        "whole_us": round(statistics.median(second for _, second in times), 2),
-        "rate_ratio": round(statistics.median(ratios), 3),
-        "rate_ratio_least": round(min(ratios), 3),
-        "rate_ratio_most": round(max(ratios), 3),
-    }
+    return describe_turns(flows, times, "whole_us")
 
 
 def measure(seed: int) -> Iterator[dict[str, Any]]:
