Add timed openings, loads and declines to the messages, settings for load

Cause: gates and fronts know neither the time that a caller has left nor the time that a host needs, and no setting could switch such decisions on. Change: message kinds for nodes that state protocol 2, fields with defaults for the others, load settings whose defaults are the former behaviour, a design note.

--- a/src/balsamstream/flows/fleet.py
+++ b/src/balsamstream/flows/fleet.py
@@ -18,6 +18,8 @@
 from .heartbeat import HostState
 from .messages import (
     LOAD_MESSAGE,
+    PROTOCOL,
+    TIMED_LOAD_MESSAGE,
     Hello,
     NodeName,
     Report,
@@ -41,6 +43,7 @@
 NAMES_INTERVAL: Final = 4
 """Hellos to a node between two that name other nodes."""
 DEFAULT_IDLE_S: Final = 60.0
+MS_PER_S: Final = 1_000.0
 
 
 class FleetTransport(Protocol):
@@ -221,14 +224,16 @@
             host.asked_at = None
 
     def handle_load(self, message: bytes, sender: str, now: float) -> None:
-        """Handle a load message of a gate."""
+        """Handle a load message of a gate, with or without the expected wait."""
         host = self._gates.hosts.get(sender)
-        if host is None or len(message) != LOAD_MESSAGE.size:
+        if host is None or len(message) not in _LOAD_SIZES:
             self._events.count("messages.unexpected")
             return
-        _, sequence, in_flight, flows, state = LOAD_MESSAGE.unpack(message)
+        _, sequence, in_flight, flows, state = LOAD_MESSAGE.unpack_from(message)
         if sequence <= host.sequence:
             return
+        if len(message) == TIMED_LOAD_MESSAGE.size:
+            host.wait_s = TIMED_LOAD_MESSAGE.unpack(message)[-1] / MS_PER_S
         host.sequence = sequence
         host.record_load(in_flight, flows, now)
         if state != host.state and state in _STATES:
@@ -271,6 +276,9 @@
             self._send_hello_to_gate(host, now)
         host.sequence = report.sequence
         host.name = report.host
+        host.protocol = report.protocol
+        host.wait_s = report.wait_ms / MS_PER_S
+        host.routes = report.routes
         host.slots = max(1, report.slots)
         host.cold_until = now + report.cold_left_s
         is_ready = report.state == HostState.READY
@@ -422,10 +430,12 @@
             cold_per_s=0.0 if rules is None else rules.cold_per_s,
             max_flows=0 if rules is None else rules.max_flows,
             names=list(names),
+            protocol=PROTOCOL,
         )
         return encode_control(hello)
 
 
 _STATES: Final = frozenset(HostState)
+_LOAD_SIZES: Final = (LOAD_MESSAGE.size, TIMED_LOAD_MESSAGE.size)
 
 __all__ = ["Fleet", "FleetTransport"]
--- a/src/balsamstream/flows/front.py
+++ b/src/balsamstream/flows/front.py
@@ -13,7 +13,14 @@
 from .fleet import Fleet, FleetTransport
 from .heartbeat import HostState
 from .hints import Hints
-from .messages import OPEN_HEADER, DeclineReason, Kind, compute_service_tag
+from .load_policy import LoadPolicy
+from .messages import (
+    OPEN_HEADER,
+    TIMED_DECLINED_HEADER,
+    DeclineReason,
+    Kind,
+    compute_service_tag,
+)
 from .placement import Host, choose_host
 from .searches import Searches
 from .startup_buffer import StartupBuffer
@@ -27,6 +34,7 @@
 DECLINE_BACKOFF_S: Final = 0.1
 """Time for which a host that has declined a flow is a last resort."""
 LOWEST_PRIORITY: Final = 255
+DEFAULT_POLICY: Final = LoadPolicy()
 
 
 class FrontTransport(FleetTransport, Protocol):
@@ -54,6 +62,8 @@
         Port on which nodes receive messages.
     now : float
         Time, in seconds.
+    policy : LoadPolicy
+        Decisions under load that are switched on.
 
     Attributes
     ----------
@@ -70,7 +80,9 @@
         data_centre: str,
         node_port: int,
         now: float,
+        policy: LoadPolicy = DEFAULT_POLICY,
     ) -> None:
+        self._policy = policy
         self._transport = transport
         self._events = events
         self._data_centre = data_centre
@@ -218,10 +230,13 @@
             return
         self.fleet.record_answer(sender)
         match message[0]:
-            case Kind.LOAD:
+            case Kind.LOAD | Kind.TIMED_LOAD:
                 self.fleet.handle_load(message, sender, now)
             case Kind.DECLINED:
-                self._handle_declined(message, sender, now)
+                self._handle_declined(message, message[2:], sender, now)
+            case Kind.TIMED_DECLINED:
+                packet = message[TIMED_DECLINED_HEADER.size :]
+                self._handle_declined(message, packet, sender, now)
             case Kind.STRAY:
                 self._handle_stray(message[1:], sender, now)
             case Kind.HELD:
@@ -233,8 +248,9 @@
             case _:
                 self._events.count("messages.unknown")
 
-    def _handle_declined(self, message: bytes, sender: str, now: float) -> None:
-        packet = message[2:]
+    def _handle_declined(
+        self, message: bytes, packet: bytes, sender: str, now: float
+    ) -> None:
         if not packets.is_packet(packet):
             self._events.count("messages.unreadable")
             return
--- a/src/balsamstream/flows/gate.py
+++ b/src/balsamstream/flows/gate.py
@@ -17,8 +17,11 @@
 from .flow_table import Flow, FlowTable
 from .heartbeat import HostState
 from .host_record import HeartbeatOutcome, HostRecord
+from .load_policy import LoadPolicy
 from .messages import (
     OPEN_HEADER,
+    PROTOCOL,
+    TIMED_OPEN_HEADER,
     DeclineReason,
     Hello,
     Kind,
@@ -38,6 +41,8 @@
     from .heartbeat import Heartbeat
 
 EXPIRE_INTERVAL_S: Final = 1.0
+DEFAULT_POLICY: Final = LoadPolicy()
+MS_PER_S: Final = 1_000.0
 
 
 class GateTransport(Protocol):
@@ -73,6 +78,8 @@
         Time between heartbeats of the host, in seconds.
     now : float
         Time, in seconds.
+    policy : LoadPolicy
+        Decisions under load that are switched on.
 
     Attributes
     ----------
@@ -91,7 +98,9 @@
         incarnation: int,
         heartbeat_s: float,
         now: float,
+        policy: LoadPolicy = DEFAULT_POLICY,
     ) -> None:
+        self._policy = policy
         self._transport = transport
         self._events = events
         self._service = service
@@ -217,6 +226,8 @@
         match message[0]:
             case Kind.OPEN:
                 self._handle_open(message, sender, now)
+            case Kind.TIMED_OPEN:
+                self._handle_timed_open(message, sender, now)
             case Kind.RELAYED_SEARCH:
                 self._handle_relayed_search(message, now)
             case Kind.SEARCH:
@@ -251,6 +262,30 @@
             return
         _, service_tag, priority = OPEN_HEADER.unpack_from(message)
         flow = packets.get_flow(packet)
+        opening = Opening(flow, packet, sender, priority, now)
+        self._handle_opening(opening, service_tag, now)
+
+    def _handle_timed_open(self, message: bytes, sender: str, now: float) -> None:
+        packet = message[TIMED_OPEN_HEADER.size :]
+        if not packets.is_packet(packet):
+            self._events.count("messages.unreadable")
+            return
+        header = TIMED_OPEN_HEADER.unpack_from(message)
+        _, service_tag, priority, route_tag, objective_ms, deadline_ms = header
+        opening = Opening(
+            packets.get_flow(packet),
+            packet,
+            sender,
+            priority,
+            now,
+            route_tag=route_tag,
+            objective_at=now + objective_ms / MS_PER_S,
+            deadline_at=now + deadline_ms / MS_PER_S,
+        )
+        self._handle_opening(opening, service_tag, now)
+
+    def _handle_opening(self, opening: Opening, service_tag: int, now: float) -> None:
+        flow, packet, sender = opening.flow, opening.packet, opening.front
         entry = self._flows.get(flow)
         if entry is not None and entry.is_opened_by(packet):
             self._handle_copy(packet, entry, sender, now)
@@ -265,7 +300,7 @@
             self._decline(packet, sender, reason, now)
             return
         self._flows.remove(flow)
-        self._dispatcher.submit(Opening(flow, packet, sender, priority, now), now)
+        self._dispatcher.submit(opening, now)
 
     def _handle_copy(self, packet: bytes, entry: Flow, sender: str, now: float) -> None:
         if entry.ended_by:
@@ -445,7 +480,7 @@
         if not self._flows.is_load_changed or not self.reporter.may_send_load(now):
             return
         self._flows.is_load_changed = False
-        self.reporter.send_load(len(self._flows), self.state, now)
+        self.reporter.send_load(len(self._flows), self.state, 0.0, now)
 
     def handle_pause(self, gap_s: float, now: float) -> None:
         """Exclude a pause of this process from the silence of host and fronts."""
@@ -477,6 +512,7 @@
             evacuations_revision=self._admission.evacuations.latest.revision,
             seeks_hello=seeks_hello,
             may_hold_flows=len(self._flows) > 0 or self._older_flows.may_exist(now),
+            protocol=PROTOCOL,
         )
 
     def _expire(self, now: float) -> None:
--- a/src/balsamstream/flows/messages.py
+++ b/src/balsamstream/flows/messages.py
@@ -3,6 +3,10 @@
 The first byte is the kind. Control messages continue with msgpack. The others are a
 short binary header, most of them followed by a packet, or by the key of a flow in HELD
 and NOT_HELD. Anything else on the port is dropped and counted.
+
+Nodes of an earlier release may run beside this one. A kind of a later protocol version
+goes only to nodes that have stated this version in a control message, and fields that a
+control message has gained come last and have a default.
 """
 
 from __future__ import annotations
@@ -16,6 +20,13 @@
 
 import msgspec
 
+PROTOCOL: Final = 2
+"""Version of the messages that this release understands."""
+TIMED_PROTOCOL: Final = 2
+"""First version with TIMED_OPEN, TIMED_LOAD and TIMED_DECLINED."""
+MAX_MS: Final = 65_535
+"""Greatest time in a binary header, in milliseconds."""
+
 
 class Kind(enum.IntEnum):
     """First byte of a message."""
@@ -40,6 +51,12 @@
     """Gate to front: state and load of the host."""
     SEARCH = 10
     """Front to gate: a later packet of unknown holder, for this gate and others."""
+    TIMED_OPEN = 11
+    """Front to gate: an opening packet with the time that its caller has left."""
+    TIMED_LOAD = 12
+    """Gate to front: state, load and expected wait of the host."""
+    TIMED_DECLINED = 13
+    """Gate to front: a timed opening packet that the gate declined."""
 
 
 class DeclineReason(enum.IntEnum):
@@ -62,8 +79,16 @@
 
 OPEN_HEADER: Final = struct.Struct(">BIB")
 """Kind, tag of the service, priority of the route."""
+TIMED_OPEN_HEADER: Final = struct.Struct(">BIBIHH")
+"""Kind, tag of the service, priority of the route, tag of the route, time left until
+the route's objective and until its deadline, in milliseconds."""
+TIMED_DECLINED_HEADER: Final = struct.Struct(">BBHH")
+"""Kind, reason, time left until the route's objective and until its deadline, in
+milliseconds."""
 LOAD_MESSAGE: Final = struct.Struct(">BIHHB")
 """Kind, then `sequence`, `in_flight`, `flows` and `state` as in a `Report`."""
+TIMED_LOAD_MESSAGE: Final = struct.Struct(">BIHHBH")
+"""As `LOAD_MESSAGE`, then `wait_ms`."""
 
 
 RELAYED_SEARCH_HEADER: Final = struct.Struct(">B4s")
@@ -147,6 +172,16 @@
     return zlib.crc32(name.encode())
 
 
+def compute_route_tag(route: bytes) -> int:
+    """Return the CRC-32 that identifies a route, from its address and port."""
+    return zlib.crc32(route)
+
+
+def clamp_ms(seconds: float) -> int:
+    """Return a time in milliseconds as a header holds it, 0 to `MAX_MS`."""
+    return max(0, min(MAX_MS, round(seconds * 1_000)))
+
+
 class NodeName(msgspec.Struct, array_like=True, frozen=True):
     """A node that one node names to another.
 
@@ -196,6 +231,8 @@
         Bound of the flows that a host of the service holds; 0 for no bound.
     names : list of NodeName
         Some nodes that have run lately; only fronts in a hello to a gate.
+    protocol : int
+        Version of the messages that the front understands.
     """
 
     data_centre: str
@@ -211,6 +248,32 @@
     cold_per_s: float
     max_flows: int
     names: list[NodeName]
+    protocol: int = 1
+
+
+class RouteReport(msgspec.Struct, array_like=True, frozen=True):
+    """Answers of a host on one route in the recent past.
+
+    Attributes
+    ----------
+    route_tag : int
+        Tag of the route.
+    answers : int
+        Requests that the host has answered.
+    service_ms : float
+        Median of the time that it worked on one, without the wait, in milliseconds.
+    answer_bytes : int
+        Lower quartile of the payload of an answer's first packet, in bytes.
+    failures : int
+        Requests that the host has reset or not answered within the route's objective
+        after it could begin.
+    """
+
+    route_tag: int
+    answers: int
+    service_ms: float
+    answer_bytes: int
+    failures: int
 
 
 class Report(msgspec.Struct, tag=4, array_like=True, frozen=True):
@@ -246,6 +309,13 @@
     may_hold_flows : bool
         Whether the host holds flows, as far as the gate can tell; False only if it is
         certain that it holds none.
+    protocol : int
+        Version of the messages that the gate understands.
+    wait_ms : int
+        Expected time until the host begins to work on one more request, in
+        milliseconds.
+    routes : list of RouteReport
+        Recent answers on the routes with most of them.
     """
 
     gate_incarnation: int
@@ -262,6 +332,9 @@
     evacuations_revision: int
     seeks_hello: bool
     may_hold_flows: bool
+    protocol: int = 1
+    wait_ms: int = 0
+    routes: list[RouteReport] = []
 
 
 ControlMessage: TypeAlias = Hello | Report
@@ -286,7 +359,13 @@
 
 __all__ = [
     "LOAD_MESSAGE",
+    "MAX_MS",
     "OPEN_HEADER",
+    "PROTOCOL",
+    "TIMED_DECLINED_HEADER",
+    "TIMED_LOAD_MESSAGE",
+    "TIMED_OPEN_HEADER",
+    "TIMED_PROTOCOL",
     "ControlMessage",
     "DeclineReason",
     "Hello",
@@ -294,7 +373,10 @@
     "NodeName",
     "RelayedSearch",
     "Report",
+    "RouteReport",
     "SearchRequest",
+    "clamp_ms",
+    "compute_route_tag",
     "compute_service_tag",
     "decode_control",
     "decode_relayed_search",
--- a/src/balsamstream/flows/placement.py
+++ b/src/balsamstream/flows/placement.py
@@ -17,6 +17,8 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
+    from .messages import RouteReport
+
 ALIVE_TIMEOUT_S: Final = 1.2
 """Silence of a gate after which it gets no new flows; it answers hellos twice a
 second."""
@@ -62,6 +64,13 @@
         Time of the gate's last report or load message, in seconds.
     is_empty : bool
         Whether the last report said that the host is not ready and holds no flows.
+    protocol : int
+        Version of the messages that the gate understands.
+    wait_s : float
+        Expected time until the host begins to work on one more request, as last
+        reported, in seconds.
+    routes : list of RouteReport
+        Recent answers of the host, as last reported.
     asked_at : float or None
         Time of the first hello that the gate has not answered, in seconds; None if it
         has answered since, or has not been asked.
@@ -86,6 +95,9 @@
     last_heard_at: float = -1e9
     avoid_until: float = 0.0
     is_empty: bool = False
+    protocol: int = 1
+    wait_s: float = 0.0
+    routes: list[RouteReport] = field(default_factory=list)
     asked_at: float | None = None
 
     def is_alive(self, now: float) -> bool:
--- a/src/balsamstream/flows/reporter.py
+++ b/src/balsamstream/flows/reporter.py
@@ -8,7 +8,17 @@
 
 from typing import TYPE_CHECKING, Final
 
-from .messages import LOAD_MESSAGE, Hello, Kind, NodeName, Report, encode_control
+from .messages import (
+    LOAD_MESSAGE,
+    TIMED_LOAD_MESSAGE,
+    TIMED_PROTOCOL,
+    Hello,
+    Kind,
+    NodeName,
+    Report,
+    clamp_ms,
+    encode_control,
+)
 from .roster import FrontRoster
 from .subset import FRONTS_OF_GATE, choose_fronts
 
@@ -74,6 +84,7 @@
         self._incarnation = incarnation
         self._sequence = 0
         self._known = FrontRoster()
+        self._timed_fronts: set[str] = set()
         self._chosen: frozenset[str] = frozenset()
         self._announcements_left = 0
         self._load_due = now
@@ -106,6 +117,10 @@
             return
         if self._known.record_heard(sender, hello.data_centre, now):
             self._events.emit("front_found", front=sender, version=hello.version)
+        if hello.protocol >= TIMED_PROTOCOL:
+            self._timed_fronts.add(sender)
+        else:
+            self._timed_fronts.discard(sender)
         for name in hello.names:
             self._add_name(name, now)
         self.send_report([sender], now)
@@ -169,16 +184,33 @@
         """Return whether the minimum time since the last load message has passed."""
         return now >= self._load_due
 
-    def send_load(self, flows: int, state: HostState, now: float) -> None:
-        """Send the load of the host to all fronts that are in contact."""
+    def send_load(
+        self, flows: int, state: HostState, wait_s: float, now: float
+    ) -> None:
+        """Send the load of the host to all fronts that are in contact.
+
+        Parameters
+        ----------
+        flows : int
+            Flows that the host holds.
+        state : HostState
+            State of the host.
+        wait_s : float
+            Expected time until the host begins to work on one more request, in
+            seconds; only fronts that understand it get it.
+        now : float
+            Time, in seconds.
+        """
         fronts = self._known.heard_at
         self._load_due = now + max(LOAD_INTERVAL_S, len(fronts) / MAX_LOADS_PER_S)
         self._sequence += 1
         in_flight = min(self._count_in_flight(), MAX_REPORTED_LOAD)
         flows = min(flows, MAX_REPORTED_LOAD)
-        load = LOAD_MESSAGE.pack(Kind.LOAD, self._sequence, in_flight, flows, state)
+        values = (self._sequence, in_flight, flows, state)
+        load = LOAD_MESSAGE.pack(Kind.LOAD, *values)
+        timed = TIMED_LOAD_MESSAGE.pack(Kind.TIMED_LOAD, *values, clamp_ms(wait_s))
         for ip in fronts:
-            self._send(ip, load)
+            self._send(ip, timed if ip in self._timed_fronts else load)
 
     def handle_pause(self, gap_s: float, now: float) -> None:
         """Exclude a pause of this process from the silence of fronts."""
--- a/src/balsamstream/flows/waiting_queue.py
+++ b/src/balsamstream/flows/waiting_queue.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import Final
 
@@ -37,6 +38,11 @@
         Priority of the route; 0 is the most urgent.
     arrived_at : float
         Time of arrival at the gate, in seconds.
+    route_tag : int
+        Tag of the route, 0 if the front has not stated it.
+    objective_at, deadline_at : float
+        Times at which the route's objective and its deadline are over, in seconds;
+        infinity if the front has not stated them.
     """
 
     flow: bytes
@@ -44,6 +50,9 @@
     front: str
     priority: int
     arrived_at: float
+    route_tag: int = 0
+    objective_at: float = math.inf
+    deadline_at: float = math.inf
 
 
 class WaitingQueue:
--- a/src/balsamstream/node/front.py
+++ b/src/balsamstream/node/front.py
@@ -47,6 +47,7 @@
             ip=settings.ip,
             data_centre=settings.data_centre,
             node_port=settings.node_port,
+            policy=settings.load.build_policy(),
             now=asyncio.get_running_loop().time(),
         )
         callers = split_address(settings.callers)
--- a/src/balsamstream/node/gate.py
+++ b/src/balsamstream/node/gate.py
@@ -39,6 +39,7 @@
             data_centre=settings.data_centre,
             incarnation=self.incarnation,
             heartbeat_s=host.heartbeat_ms / 1_000,
+            policy=settings.load.build_policy(),
             now=asyncio.get_running_loop().time(),
         )
         self._host_found = asyncio.Event()
--- a/src/balsamstream/node/settings.py
+++ b/src/balsamstream/node/settings.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from balsamstream.flows.load_policy import LoadPolicy
+
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=253)]
 Address = Annotated[
@@ -44,6 +46,35 @@
     heartbeat_ms: Annotated[int, msgspec.Meta(ge=1)]
 
 
+class LoadSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How a node decides under load; the defaults are those of earlier releases.
+
+    Attributes
+    ----------
+    admission : str
+        ``fixed`` lets an opening packet wait for a fixed time at most, the most urgent
+        priority first; ``deadline`` for as long as its route's deadline allows, with
+        fair shares between routes and callers.
+    placement : str
+        ``queue`` chooses a host by its requests in flight; ``delay`` by the time that
+        a request would take there.
+    outliers : bool
+        Whether hosts whose answers differ from those of their peers get fewer flows.
+    """
+
+    admission: Literal["fixed", "deadline"] = "fixed"
+    placement: Literal["queue", "delay"] = "queue"
+    outliers: bool = False
+
+    def build_policy(self) -> LoadPolicy:
+        """Return the settings as the decisions read them."""
+        return LoadPolicy(
+            by_deadline=self.admission == "deadline",
+            by_delay=self.placement == "delay",
+            detects_outliers=self.outliers,
+        )
+
+
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Settings of a node.
 
@@ -77,6 +108,8 @@
         ``flow`` logs the events of single flows, too; ``event`` only the others.
     host : HostSettings or None
         The host beside a gate; None for a front.
+    load : LoadSettings
+        Decisions under load, set alike on all nodes.
     """
 
     name: Name
@@ -92,6 +125,7 @@
     grace_s: Annotated[float, msgspec.Meta(gt=0)] = 6.0
     log_level: Literal["flow", "event"] = "flow"
     host: HostSettings | None = None
+    load: LoadSettings = LoadSettings()
 
 
 _DECODER: Final = msgspec.json.Decoder(Settings)
@@ -154,6 +188,7 @@
 
 __all__ = [
     "HostSettings",
+    "LoadSettings",
     "Settings",
     "SettingsError",
     "load_settings",
