--- a/src/balsamstream/flows/gate.py
+++ b/src/balsamstream/flows/gate.py
@@ -198,6 +198,14 @@
         """Record that no gate has run here before, so there are no older flows."""
         self._older_flows.record_all_seen("no earlier gate")
 
+    def record_refused_check(self, now: float) -> None:
+        """Record that nothing listens at the host's address, so no flow is held."""
+        if not self._host.record_refused_check():
+            return
+        self._events.emit("host_absent", reason="connection refused")
+        self._older_flows.record_all_seen("no host")
+        self.reporter.notify_fronts(now)
+
     def _handle_state_change(self, cause: str, now: float) -> None:
         self._events.emit(
             "host_state",
@@ -503,7 +511,7 @@
             host=self._host.name,
             service=self._service,
             data_centre=self._data_centre,
-            state=self.state,
+            state=self._get_reported_state(now),
             slots=self._host.slots,
             cold_left_s=round(self._host.get_cold_left_s(now), 3),
             in_flight=self._count_in_flight(),
@@ -511,10 +519,23 @@
             evacuations_era=self._admission.evacuations.latest.era,
             evacuations_revision=self._admission.evacuations.latest.revision,
             seeks_hello=seeks_hello,
-            may_hold_flows=len(self._flows) > 0 or self._older_flows.may_exist(now),
+            may_hold_flows=self._may_hold_flows(now),
             protocol=PROTOCOL,
         )
 
+    def _may_hold_flows(self, now: float) -> bool:
+        return len(self._flows) > 0 or self._older_flows.may_exist(now)
+
+    def _get_reported_state(self, now: float) -> HostState:
+        """Return the state of the host, as gone if this gate stops and holds no flow.
+
+        Fronts then await no answer of the gate to their searches. The next gate at this
+        address reports again.
+        """
+        if self._is_leaving and not self._may_hold_flows(now):
+            return HostState.GONE
+        return self.state
+
     def _expire(self, now: float) -> None:
         self._expire_due = now + EXPIRE_INTERVAL_S
         self._older_flows.expire(now)
--- a/src/balsamstream/flows/host_record.py
+++ b/src/balsamstream/flows/host_record.py
@@ -45,6 +45,7 @@
         self._is_silent = False
         self._is_seen = False
         self._absent_from = now + heartbeat_s * HEARTBEATS_TO_ABSENCE
+        self._is_check_refused = False
 
     @property
     def state(self) -> HostState:
@@ -72,10 +73,22 @@
         """Record a packet of the host, which proves that there is one."""
         self._is_seen = True
 
+    def record_refused_check(self) -> bool:
+        """Record that nothing listens at the host's address; False if a host is known.
+
+        A host may start later, but it then holds no flow from before.
+        """
+        self._is_check_refused = not self._has_sign()
+        return self._is_check_refused
+
     def is_absent(self, now: float) -> bool:
-        """Return whether the gate has run for long without any sign of a host."""
-        has_sign = self._is_seen or self._last_heartbeat is not None
-        return not has_sign and now >= self._absent_from
+        """Return whether there is no host, by a check or by its long silence."""
+        if self._has_sign():
+            return False
+        return self._is_check_refused or now >= self._absent_from
+
+    def _has_sign(self) -> bool:
+        return self._is_seen or self._last_heartbeat is not None
 
     def get_heartbeat_age_s(self, now: float) -> float:
         """Return the time since the last heartbeat, in seconds."""
--- a/src/balsamstream/flows/search.py
+++ b/src/balsamstream/flows/search.py
@@ -46,6 +46,8 @@
         Number of gates that must deny the flow before the search can advance.
     is_wide : bool
         Whether the search asks the gates of all services, not only of the route's.
+    sent_at : float
+        Time at which the packet was last sent to gates, in seconds.
     """
 
     started_at: float
@@ -54,6 +56,7 @@
     denied_by: set[str] = field(default_factory=set)
     expected_denials: int = 0
     is_wide: bool = False
+    sent_at: float = 0.0
 
     def is_expired(self, now: float) -> bool:
         """Return whether the search has reached its timeout."""
--- a/src/balsamstream/flows/searches.py
+++ b/src/balsamstream/flows/searches.py
@@ -30,6 +30,12 @@
 TICK_INTERVAL_S: Final = 0.1
 ANSWER_TIMEOUT_S: Final = 0.2
 """Time that the gates have to answer a search before they are asked directly."""
+RESEND_INTERVAL_S: Final = 0.2
+"""Time after which a search is sent again to gates that are heard but have not
+answered: they may have started after it, or a datagram was lost."""
+RESENDS_PER_S: Final = 400
+"""Messages of repeated searches that a front sends."""
+RESENDS_BURST: Final = 400
 MAX_LOGGED_GATES: Final = 8
 
 
@@ -65,6 +71,7 @@
         self._searches: dict[bytes, Search] = {}
         self._tick_due = 0.0
         self._wide_limit = RateLimit(WIDE_GATES_PER_S, WIDE_GATES_BURST)
+        self._resend_limit = RateLimit(RESENDS_PER_S, RESENDS_BURST)
 
     def is_searching(self, flow: bytes, now: float) -> bool:
         """Return whether a search for a flow is running."""
@@ -136,9 +143,13 @@
     def _send_to_relays(
         self, search: Search, hosts: list[Host], now: float
     ) -> list[str]:
-        """Send a packet to the gates of some hosts; return the relays."""
+        """Send a packet to the gates of all hosts in scope; return the relays."""
         may_hold = sum(host.may_hold_flows(now) for host in hosts)
         search.expected_denials = len(search.denied_by) + may_hold
+        return self._send(search, hosts, now)
+
+    def _send(self, search: Search, hosts: list[Host], now: float) -> list[str]:
+        search.sent_at = now
         relays = []
         for group in plan_relays(hosts, search.rotation, now):
             targets = [host.ip for host in group.targets]
@@ -199,12 +210,30 @@
         self._tick_due = now + TICK_INTERVAL_S
         for flow, search in list(self._searches.items()):
             if not search.is_expired(now):
+                self._resend(search, now)
                 self._ask_silent_gates(search, now)
                 self._advance(flow, search, now)
                 continue
             del self._searches[flow]
             self._emit_not_found(flow, search, now)
 
+    def _resend(self, search: Search, now: float) -> None:
+        """Send a search again to the gates that are heard but have not answered."""
+        route = self._fleet.find_route(search.packet)
+        if route is None or now - search.sent_at < RESEND_INTERVAL_S:
+            return
+        hosts = [
+            host
+            for host in self._list_targets(search, route)
+            if host.is_alive(now) and host.may_hold_flows(now)
+        ]
+        groups = len({host.data_centre for host in hosts})
+        if not groups:
+            return
+        if self._resend_limit.try_acquire(now, groups):
+            self._events.count("searches.repeated")
+            self._send(search, hosts, now)
+
     def _ask_silent_gates(self, search: Search, now: float) -> None:
         """Find out which gates that owe an answer are gone.
 
--- a/src/balsamstream/node/gate.py
+++ b/src/balsamstream/node/gate.py
@@ -21,6 +21,8 @@
 STOP_DELAY_S: Final = 0.3
 """Time for the host's last packets and for the requests in progress at a stop."""
 DELETE_TIMEOUT_S: Final = 1.0
+HOST_CHECK_TIMEOUT_S: Final = 0.5
+"""Time for a connection to the host, which runs on the same VM."""
 
 
 class GateService(NodeService):
@@ -57,9 +59,11 @@
         """Open the sockets."""
         await super().start()
         self._host_socket.start()
+        self.start_task("host_check", self._check_host)
 
     async def close(self) -> None:
         """Stop the tasks and close all sockets."""
+        await self.kernel.end_task("host_check")
         self._host_socket.close()
         await super().close()
 
@@ -71,6 +75,26 @@
             async with asyncio.timeout(DELETE_TIMEOUT_S):
                 await self.discovery.leave()
 
+    async def _check_host(self) -> None:
+        """Find out whether any host runs beside this gate.
+
+        Only a refused connection proves something: a host that is paused or full does
+        not answer either.
+        """
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(HOST_CHECK_TIMEOUT_S):
+                transport, _ = await loop.create_connection(
+                    asyncio.Protocol, *self._host_address
+                )
+        except ConnectionRefusedError:
+            self._gate.record_refused_check(loop.time())
+        except (OSError, TimeoutError) as error:
+            reason = str(error) or type(error).__name__
+            self.events.emit("host_check_failed", reason=reason)
+        else:
+            transport.close()
+
     def is_ready(self) -> bool:
         """Return whether this gate is serving."""
         return not self.is_stopping
--- a/standins/flow_site.py
+++ b/standins/flow_site.py
@@ -64,6 +64,11 @@
         self._handle(data)
 
 
+def _close_connection(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Accept a connection, as a host that runs does, and close it."""
+    writer.close()
+
+
 @dataclass(slots=True)
 class VM:
     """A simulated VM with one node, and with a host if the node is a gate."""
@@ -104,10 +109,14 @@
         self.heartbeats = 0
         self._transport: asyncio.DatagramTransport | None = None
         self._heartbeat_task: asyncio.Task[None] | None = None
+        self._health_server: asyncio.Server | None = None
 
     async def start(self) -> None:
-        """Open the socket and start sending heartbeats."""
+        """Open the sockets and start sending heartbeats."""
         ports = self._site.ports
+        self._health_server = await asyncio.start_server(
+            _close_connection, self.vm.ip, ports.host
+        )
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
             lambda: _DatagramProtocol(self._handle), (self.vm.ip, ports.host)
@@ -118,6 +127,9 @@
         """Stop without deregistering."""
         if self._heartbeat_task is not None:
             self._heartbeat_task.cancel()
+        if self._health_server is not None:
+            self._health_server.close()
+            self._health_server = None
         if self._transport is not None:
             self._transport.abort()
             self._transport = None
--- a/tests/flows/test_search.py
+++ b/tests/flows/test_search.py
@@ -325,3 +325,82 @@
     caller.send_request("10.1.0.2")
     deployment.pass_time(2.0)
     assert not any(packet.flags & RST for packet, _ in deployment.to_callers)
+
+
+def test_gate_whose_host_refuses_connections_denies_at_once() -> None:
+    # All nodes lose power, and those of hosts that had left return for a moment. Such a
+    # gate held up every search for two heartbeats.
+    deployment = build_deployment()
+    caller = open_flow(deployment)
+    holder = caller.get_holder()
+    holder.restart()
+    holder.has_host = holder.sends_heartbeats = False
+    assert caller.send_request("10.1.0.2", b"early") == []
+    holder.gate.record_refused_check(deployment.now)
+    deployment.run()
+    assert is_last_packet_reset(deployment)
+
+
+def test_refused_check_proves_nothing_about_a_host_that_was_seen() -> None:
+    deployment = build_deployment()
+    caller = open_flow(deployment)
+    holder = caller.get_holder()
+    holder.restart()
+    holder.send_heartbeat()
+    holder.gate.record_refused_check(deployment.now)
+    (answer,) = caller.send_request("10.1.0.2", b"again")
+    assert answer.data == b"answer again"
+
+
+def test_gate_without_flows_that_stops_is_not_awaited() -> None:
+    # VMs of hosts that had left are removed one after the other: each front awaited
+    # each of their gates for three seconds.
+    deployment = build_deployment()
+    caller = open_flow(deployment)
+    holder = caller.get_holder()
+    empty = next(gate for gate in deployment.gates.values() if gate is not holder)
+    empty.restart()
+    empty.has_host = empty.sends_heartbeats = False
+    empty.gate.record_refused_check(deployment.now)
+    deployment.pass_time(1.0)
+    empty.gate.leave(deployment.now)
+    deployment.run()
+    empty.is_up = False
+    restart_host(holder)
+    deployment.run()
+    caller.send_request("10.1.0.2")
+    deployment.run()
+    assert is_last_packet_reset(deployment)
+
+
+def test_gate_that_stops_with_flows_is_awaited() -> None:
+    deployment = build_deployment()
+    caller = open_flow(deployment)
+    holder = caller.get_holder()
+    holder.gate.leave(deployment.now)
+    deployment.run()
+    holder.is_up = False
+    caller.send_request("10.1.0.2")
+    deployment.pass_time(2.0)
+    assert not any(packet.flags & RST for packet, _ in deployment.to_callers)
+
+
+def test_search_reaches_a_gate_that_is_heard_after_it_began() -> None:
+    # All nodes start at once, the holder of a flow a moment after the front. The search
+    # was sent once, and only a retransmission of the caller repeated it.
+    deployment = build_deployment()
+    caller = open_flow(deployment)
+    holder = caller.get_holder()
+    holder.is_up = False
+    front = deployment.fronts["10.1.0.2"]
+    front.start()
+    front.find_nodes()
+    deployment.run()
+    assert caller.send_request("10.1.0.2", b"again") == []
+    holder.is_up = True
+    holder.restart()
+    holder.send_heartbeat()
+    answers_before = len(deployment.to_callers)
+    deployment.pass_time(0.6)
+    answers = [packet.data for packet, _ in deployment.to_callers[answers_before:]]
+    assert b"answer again" in answers
