Say in a gate's entry whether its host has left

Cause: a host leaves, and all power is lost before its gate is stopped. Ruled out: deleting the entry at once (a gate that finds no entry concludes that its host holds no older flows, which is false if a host returns meanwhile); a shorter wait (a gate that restarts under load needs up to three seconds). Change: the gate marks its entry when its host has left and removes the mark when one returns; a front that has not heard a marked gate does not await it.

--- a/src/balsamstream/flows/directory.py
+++ b/src/balsamstream/flows/directory.py
@@ -4,12 +4,13 @@
 
 from typing import TYPE_CHECKING, Final
 
+from .heartbeat import HostState
 from .placement import LOST_TIMEOUT_S, Host
 from .roster import FrontRoster, GateRoster, Names
 from .subset import is_address
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Collection, Iterable, Iterator
 
     from .events import Events
     from .messages import NodeName
@@ -92,14 +93,35 @@
         self._unknown[ip] = now
         return is_new
 
-    def add_listed(self, names: Iterable[NodeName], now: float) -> list[Host]:
-        """Add the nodes that the store lists; return the hosts that are new."""
+    def add_listed(
+        self,
+        names: Iterable[NodeName],
+        now: float,
+        without_host: Collection[str] = (),
+    ) -> list[Host]:
+        """Add the nodes that the store lists; return the hosts that are new.
+
+        Parameters
+        ----------
+        names : iterable of NodeName
+            Nodes that have an entry.
+        now : float
+            Time, in seconds.
+        without_host : collection of str
+            Gates whose hosts have left by their entries. They are not awaited unless
+            they are heard, which tells more than an entry.
+        """
         added = []
         for name in names:
             if not self._is_other_node(name):
                 continue
             added += self._add(name, now)
             self._get_roster(name).sightings[name.ip].listed_at = now
+            host = self.gates.hosts.get(name.ip)
+            if host is None or host.gate_incarnation:
+                continue
+            if name.ip in without_host:
+                host.state = HostState.GONE
         self._record_completeness(now)
         return added
 
--- a/src/balsamstream/flows/fleet.py
+++ b/src/balsamstream/flows/fleet.py
@@ -28,7 +28,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Collection, Iterable, Iterator
 
     from .desired_state import Route
     from .events import Events
@@ -184,9 +184,14 @@
         """Return whether every gate that runs should be known by now."""
         return self._directory.is_complete(now)
 
-    def add_listed_nodes(self, names: Iterable[NodeName], now: float) -> None:
-        """Add all nodes that the store lists."""
-        self._directory.add_listed(names, now)
+    def add_listed_nodes(
+        self,
+        names: Iterable[NodeName],
+        now: float,
+        without_host: Collection[str] = (),
+    ) -> None:
+        """Add all nodes that the store lists; see `Directory.add_listed`."""
+        self._directory.add_listed(names, now, without_host)
         self._send_hellos(now)
 
     def add_addresses(self, ips: list[str], now: float) -> None:
--- a/src/balsamstream/node/discovery.py
+++ b/src/balsamstream/node/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from balsamstream.platform.documents import (
@@ -149,6 +150,31 @@
             self._own_entry = result.current
         self._events.emit("entry_corrected", result=type(result).__name__)
 
+    async def update_host(self, *, is_without_host: bool) -> None:
+        """Mark this node's entry while its host has left; retry until it is written.
+
+        Fronts that start later await no gate whose entry is marked.
+        """
+        self._node = replace(self._node, is_without_host=is_without_host)
+        failures = 0
+        while self._own_entry is not None and not self._is_own(self._own_entry):
+            result = await self._store.replace(
+                ObjectKind.NODES, self._own_entry, write_node(self._node)
+            )
+            match result:
+                case Written():
+                    self._own_entry = result.current
+                case Conflict():
+                    self._own_entry = result.current
+                    failures += 1
+                    await wait_before_retry(failures)
+                case Unavailable():
+                    failures += 1
+                    await wait_before_retry(failures)
+        self._events.emit(
+            "entry_marked", is_without_host=is_without_host, failures=failures
+        )
+
     async def _read_entries(self) -> list[NodeEntry]:
         """Read all entries; a gate needs only some fronts, so they may be stale."""
         failures = 0
--- a/src/balsamstream/node/front.py
+++ b/src/balsamstream/node/front.py
@@ -122,7 +122,8 @@
             for node in nodes
             if node.data_centre
         ]
-        self._front.fleet.add_listed_nodes(names, now)
+        without_host = {node.ip for node in nodes if node.is_without_host}
+        self._front.fleet.add_listed_nodes(names, now, without_host)
         # Entries of an earlier release have only addresses.
         earlier = [node.ip for node in nodes if not node.data_centre]
         self._front.fleet.add_addresses(earlier, now)
--- a/src/balsamstream/node/gate.py
+++ b/src/balsamstream/node/gate.py
@@ -45,6 +45,7 @@
             now=asyncio.get_running_loop().time(),
         )
         self._host_found = asyncio.Event()
+        self._is_marked = False
         self._host_address = split_address(host.address)
         self._callers_port = split_address(settings.callers)[1]
         self._host_socket = DatagramSocket(
@@ -63,7 +64,8 @@
 
     async def close(self) -> None:
         """Stop the tasks and close all sockets."""
-        await self.kernel.end_task("host_check")
+        for name in ("host_check", "mark_entry"):
+            await self.kernel.end_task(name)
         self._host_socket.close()
         await super().close()
 
@@ -72,6 +74,7 @@
         self._gate.leave(asyncio.get_running_loop().time())
         await asyncio.sleep(STOP_DELAY_S)
         if self._gate.state is HostState.GONE:
+            await self.kernel.end_task("mark_entry")
             async with asyncio.timeout(DELETE_TIMEOUT_S):
                 await self.discovery.leave()
 
@@ -163,6 +166,7 @@
                 return self._handle_heartbeat(host, request.body, now)
             case "DELETE":
                 self._gate.handle_leave(host, now)
+                self._mark_entry()
                 return Response(200)
         return Response(404)
 
@@ -175,7 +179,24 @@
         self._gate.handle_heartbeat(heartbeat, now)
         if self._gate.state is not HostState.UNKNOWN:
             self._host_found.set()
+        self._mark_entry()
         return Response(200)
 
+    def _mark_entry(self) -> None:
+        """Let this node's entry say whether the host has left."""
+        is_without_host = self._gate.state is HostState.GONE
+        if is_without_host == self._is_marked:
+            return
+        self._is_marked = is_without_host
+        self.start_task("mark_entry", self._update_entry)
+
+    async def _update_entry(self) -> None:
+        """Write the mark, again if the host has left or returned meanwhile."""
+        while True:
+            is_marked = self._is_marked
+            await self.discovery.update_host(is_without_host=is_marked)
+            if is_marked == self._is_marked:
+                return
+
 
 __all__ = ["GateService"]
--- a/src/balsamstream/platform/documents.py
+++ b/src/balsamstream/platform/documents.py
@@ -34,12 +34,15 @@
         Data centre of the node; empty in an entry of an earlier release.
     service : str
         Service of a gate's host; empty for a front.
+    is_without_host : bool
+        Whether the host beside a gate has left for good.
     """
 
     ip: str
     role: str
     data_centre: str = ""
     service: str = ""
+    is_without_host: bool = False
 
 
 class _ShareDocument(msgspec.Struct):
@@ -96,6 +99,7 @@
     role: str
     data_centre: str = ""
     service: str = ""
+    is_without_host: bool = False
 
 
 _CONFIG_DECODER = msgspec.json.Decoder(_ConfigDocument)
@@ -164,12 +168,20 @@
         pack_route(document.ip, 1)
     except ValueError as error:
         raise MalformedDocument(f"invalid address: {error}") from error
-    return NodeEntry(document.ip, document.role, document.data_centre, document.service)
+    return NodeEntry(
+        document.ip,
+        document.role,
+        document.data_centre,
+        document.service,
+        document.is_without_host,
+    )
 
 
 def write_node(node: NodeEntry) -> bytes:
     """Encode the entry of a node."""
-    document = _NodeDocument(node.ip, node.role, node.data_centre, node.service)
+    document = _NodeDocument(
+        node.ip, node.role, node.data_centre, node.service, node.is_without_host
+    )
     return msgspec.json.encode(document)
 
 
--- a/tests/flows/test_search.py
+++ b/tests/flows/test_search.py
@@ -404,3 +404,34 @@
     deployment.pass_time(0.6)
     answers = [packet.data for packet, _ in deployment.to_callers[answers_before:]]
     assert b"answer again" in answers
+
+
+def test_listed_gate_whose_host_had_left_is_not_awaited() -> None:
+    # A host leaves, all nodes lose power before its gate is stopped, and the gate's
+    # entry stays in the store: each front awaited the gate for three seconds.
+    deployment = build_deployment()
+    caller = open_flow(deployment)
+    holder = caller.get_holder()
+    left = next(gate for gate in deployment.gates.values() if gate is not holder)
+    left.is_up = False
+    restart_host(holder)
+    node = deployment.fronts["10.1.0.2"]
+    node.start()
+    node.front.fleet.add_listed_nodes(
+        deployment.list_names(), deployment.now, {left.ip}
+    )
+    deployment.run()
+    caller.send_request("10.1.0.2")
+    assert is_last_packet_reset(deployment)
+
+
+def test_gate_that_is_heard_is_searched_whatever_its_entry_says() -> None:
+    deployment = build_deployment()
+    caller = open_flow(deployment)
+    holder = caller.get_holder()
+    node = deployment.fronts["10.1.0.2"]
+    node.front.fleet.add_listed_nodes(
+        deployment.list_names(), deployment.now, {holder.ip}
+    )
+    (answer,) = caller.send_request("10.1.0.2", b"again")
+    assert answer.data == b"answer again"
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -149,3 +149,55 @@
             return store.list_names("nodes")
 
     assert asyncio.run(run()) == [NAME]
+
+
+def test_entry_says_whether_the_host_has_left() -> None:
+    async def run() -> list[bool]:
+        async with run_store() as (store, port):
+            discovery = build_discovery(port)
+            await discovery.join()
+            marks = []
+            for is_without_host in (True, False, True):
+                await discovery.update_host(is_without_host=is_without_host)
+                spec = store.get_spec("nodes", NAME)
+                assert isinstance(spec, dict)
+                marks.append(spec["is_without_host"])
+            discovery.close()
+            return marks
+
+    assert asyncio.run(run()) == [True, False, True]
+
+
+def test_entry_is_marked_once_the_store_is_back() -> None:
+    async def run() -> object:
+        async with run_store() as (store, port):
+            discovery = build_discovery(port)
+            await discovery.join()
+            store.lost_share = 1.0
+            marking = asyncio.create_task(discovery.update_host(is_without_host=True))
+            await asyncio.sleep(0.1)
+            store.lost_share = 0.0
+            await marking
+            discovery.close()
+            return store.get_spec("nodes", NAME)
+
+    spec = asyncio.run(run())
+    assert isinstance(spec, dict)
+    assert spec["is_without_host"] is True
+
+
+def test_mark_of_an_earlier_run_is_removed() -> None:
+    async def run() -> object:
+        async with run_store() as (store, port):
+            before = build_discovery(port)
+            await before.join()
+            await before.update_host(is_without_host=True)
+            before.close()
+            after = build_discovery(port)
+            await after.join()
+            after.close()
+            return store.get_spec("nodes", NAME)
+
+    spec = asyncio.run(run())
+    assert isinstance(spec, dict)
+    assert spec["is_without_host"] is False
