Check the host again when a gate stops, do not await marked gates without heartbeats

Cause: hosts that had left run again for a moment after a loss of power. Change: a gate that stops connects to its host; refused means that the host has ended and its flows with it. A front does not await a gate whose entry says that its host has left and that has no heartbeat of another one.

--- a/src/balsamstream/flows/directory.py
+++ b/src/balsamstream/flows/directory.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING, Final
 
-from .heartbeat import HostState
 from .placement import LOST_TIMEOUT_S, Host
 from .roster import FrontRoster, GateRoster, Names
 from .subset import is_address
@@ -109,7 +108,7 @@
             Time, in seconds.
         without_host : collection of str
             Gates whose hosts have left by their entries. They are not awaited unless
-            they are heard, which tells more than an entry.
+            they report a host.
         """
         added = []
         for name in names:
@@ -118,10 +117,8 @@
             added += self._add(name, now)
             self._get_roster(name).sightings[name.ip].listed_at = now
             host = self.gates.hosts.get(name.ip)
-            if host is None or host.gate_incarnation:
-                continue
-            if name.ip in without_host:
-                host.state = HostState.GONE
+            if host is not None:
+                host.is_marked_left = name.ip in without_host
         self._record_completeness(now)
         return added
 
--- a/src/balsamstream/flows/gate.py
+++ b/src/balsamstream/flows/gate.py
@@ -478,9 +478,20 @@
         if now >= self._expire_due:
             self._expire(now)
 
-    def leave(self, now: float) -> None:
-        """Accept no new flows, as this process is about to stop."""
+    def leave(self, now: float, *, has_host: bool = True) -> None:
+        """Accept no new flows, as this process is about to stop.
+
+        Parameters
+        ----------
+        now : float
+            Time, in seconds.
+        has_host : bool
+            Whether a host may still run; if not, all of its flows have ended.
+        """
         self._is_leaving = True
+        if not has_host:
+            self._flows.clear()
+            self._older_flows.record_all_seen("host ended")
         self._handle_state_change("gate is stopping", now)
 
     def _send_load_if_changed(self, now: float) -> None:
--- a/src/balsamstream/flows/placement.py
+++ b/src/balsamstream/flows/placement.py
@@ -62,6 +62,9 @@
         Times at which flows were placed that the last report cannot include.
     last_heard_at : float
         Time of the gate's last report or load message, in seconds.
+    is_marked_left : bool
+        Whether the gate's entry says that its host has left. It matters while the gate
+        has no heartbeat of a host: what runs there then has no flows to lose.
     is_empty : bool
         Whether the last report said that the host is not ready and holds no flows.
     protocol : int
@@ -94,6 +97,7 @@
     unreported: deque[float] = field(default_factory=deque)
     last_heard_at: float = -1e9
     avoid_until: float = 0.0
+    is_marked_left: bool = False
     is_empty: bool = False
     protocol: int = 1
     wait_s: float = 0.0
@@ -108,6 +112,8 @@
         """Return whether flows may be at the host: it has not left and is not lost."""
         if self.state is HostState.GONE:
             return False
+        if self.is_marked_left and self.state is HostState.UNKNOWN:
+            return False
         timeout_s = EMPTY_TIMEOUT_S if self.is_empty else LOST_TIMEOUT_S
         return self.asked_at is None or now - self.asked_at < timeout_s
 
--- a/src/balsamstream/node/gate.py
+++ b/src/balsamstream/node/gate.py
@@ -71,7 +71,8 @@
 
     async def stop(self) -> None:
         """Forward the host's last packets; if it has left, delete this node's entry."""
-        self._gate.leave(asyncio.get_running_loop().time())
+        has_host = await self._may_have_host()
+        self._gate.leave(asyncio.get_running_loop().time(), has_host=has_host)
         await asyncio.sleep(STOP_DELAY_S)
         if self._gate.state is HostState.GONE:
             await self.kernel.end_task("mark_entry")
@@ -79,7 +80,12 @@
                 await self.discovery.leave()
 
     async def _check_host(self) -> None:
-        """Find out whether any host runs beside this gate.
+        """Find out at the start whether any host runs beside this gate."""
+        if not await self._may_have_host():
+            self._gate.record_refused_check(asyncio.get_running_loop().time())
+
+    async def _may_have_host(self) -> bool:
+        """Connect to the host; return False if nothing listens at its address.
 
         Only a refused connection proves something: a host that is paused or full does
         not answer either.
@@ -91,12 +97,13 @@
                     asyncio.Protocol, *self._host_address
                 )
         except ConnectionRefusedError:
-            self._gate.record_refused_check(loop.time())
+            return False
         except (OSError, TimeoutError) as error:
             reason = str(error) or type(error).__name__
             self.events.emit("host_check_failed", reason=reason)
-        else:
-            transport.close()
+            return True
+        transport.close()
+        return True
 
     def is_ready(self) -> bool:
         """Return whether this gate is serving."""
--- a/tests/flows/test_search.py
+++ b/tests/flows/test_search.py
@@ -425,6 +425,41 @@
     assert is_last_packet_reset(deployment)
 
 
+def test_gate_whose_host_ends_before_it_stops_is_not_awaited() -> None:
+    # The VM of a host is removed: the host ends first, then its gate gets the signal.
+    deployment = build_deployment()
+    caller = open_flow(deployment)
+    holder = caller.get_holder()
+    holder.gate.leave(deployment.now, has_host=False)
+    deployment.run()
+    holder.is_up = False
+    caller.send_request("10.1.0.2")
+    deployment.run()
+    assert is_last_packet_reset(deployment)
+
+
+def test_marked_gate_that_has_no_heartbeat_is_not_awaited() -> None:
+    # A host that had left runs again for a moment after all nodes lost power. It sends
+    # no heartbeat, and its VM vanishes without a signal to the gate.
+    deployment = build_deployment()
+    caller = open_flow(deployment)
+    holder = caller.get_holder()
+    left = next(gate for gate in deployment.gates.values() if gate is not holder)
+    left.restart()
+    left.sends_heartbeats = False
+    restart_host(holder)
+    node = deployment.fronts["10.1.0.2"]
+    node.start()
+    node.front.fleet.add_listed_nodes(
+        deployment.list_names(), deployment.now, {left.ip}
+    )
+    deployment.pass_time(0.6)
+    left.is_up = False
+    caller.send_request("10.1.0.2")
+    deployment.run()
+    assert is_last_packet_reset(deployment)
+
+
 def test_gate_that_is_heard_is_searched_whatever_its_entry_says() -> None:
     deployment = build_deployment()
     caller = open_flow(deployment)
