Choose hosts by expected time, refuse at the front what no host can answer in time

Cause: a data centre at its peak kept its flows until all its hosts were busy and then sent them to whichever host had reported last; slow hosts looked as good as fast ones; a full service was refused only after its packets had crossed data centres; one busy decline ended a flow although other hosts had capacity.

Change: with load.placement delay, a front chooses the host with the least expected time (reported wait, flows placed since, service time of the route, round trips) and draws among those that differ by less than the reports are uncertain. With load.admission deadline it refuses what no host can answer in time, states the time left in openings, and places a flow again after a busy decline. Both are off by default.

--- a/src/balsamstream/flows/fleet.py
+++ b/src/balsamstream/flows/fleet.py
@@ -74,6 +74,8 @@
         Port on which nodes receive messages.
     now : float
         Time, in seconds.
+    learns_round_trips : bool
+        Whether the round trips to gates are learned.
 
     Attributes
     ----------
@@ -94,7 +96,9 @@
         data_centre: str,
         node_port: int,
         now: float,
+        learns_round_trips: bool = False,
     ) -> None:
+        self._learns_round_trips = learns_round_trips
         self._transport = transport
         self._events = events
         self._ip = ip
@@ -232,8 +236,9 @@
         _, sequence, in_flight, flows, state = LOAD_MESSAGE.unpack_from(message)
         if sequence <= host.sequence:
             return
-        if len(message) == TIMED_LOAD_MESSAGE.size:
-            host.wait_s = TIMED_LOAD_MESSAGE.unpack(message)[-1] / MS_PER_S
+        is_timed = len(message) == TIMED_LOAD_MESSAGE.size
+        wait_ms = TIMED_LOAD_MESSAGE.unpack(message)[-1] if is_timed else 0
+        host.wait_s = wait_ms / MS_PER_S
         host.sequence = sequence
         host.record_load(in_flight, flows, now)
         if state != host.state and state in _STATES:
@@ -278,7 +283,9 @@
         host.name = report.host
         host.protocol = report.protocol
         host.wait_s = report.wait_ms / MS_PER_S
-        host.routes = report.routes
+        host.record_routes(report.routes)
+        if self._learns_round_trips:
+            host.round_trip.record_report(now)
         host.slots = max(1, report.slots)
         host.cold_until = now + report.cold_left_s
         is_ready = report.state == HostState.READY
@@ -387,7 +394,7 @@
             if message is None:
                 message = self._build_hello(host.service, names=names)
                 by_service[host.service] = message
-            host.record_asked(now)
+            self._record_hello(host, now)
             self._transport.send_to_node(host.ip, message)
         self._send_hellos_to_fronts(now, has_names=has_names)
 
@@ -403,8 +410,13 @@
             hello = self._build_hello(is_reply=True, names=names)
             self._transport.send_to_node(ip, hello)
 
-    def _send_hello_to_gate(self, host: Host, now: float) -> None:
+    def _record_hello(self, host: Host, now: float) -> None:
         host.record_asked(now)
+        if self._learns_round_trips:
+            host.round_trip.record_hello(now)
+
+    def _send_hello_to_gate(self, host: Host, now: float) -> None:
+        self._record_hello(host, now)
         self._transport.send_to_node(host.ip, self._build_hello(host.service))
 
     def _build_hello(
--- a/src/balsamstream/flows/front.py
+++ b/src/balsamstream/flows/front.py
@@ -6,10 +6,13 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Final, Protocol
 
 from balsamstream.platform import packets
 
+from .choice import HostChooser
+from .delay import NewFlow
 from .fleet import Fleet, FleetTransport
 from .heartbeat import HostState
 from .hints import Hints
@@ -17,24 +20,40 @@
 from .messages import (
     OPEN_HEADER,
     TIMED_DECLINED_HEADER,
+    TIMED_OPEN_HEADER,
+    TIMED_PROTOCOL,
     DeclineReason,
     Kind,
+    clamp_ms,
+    compute_route_tag,
     compute_service_tag,
 )
-from .placement import Host, choose_host
 from .searches import Searches
 from .startup_buffer import StartupBuffer
+from .waiting_queue import MAX_WAIT_S
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from .desired_state import Route
     from .events import Events
+    from .placement import Host
 
 MAX_PLACEMENTS: Final = 4
 """Hosts that may decline a flow before it is refused."""
 DECLINE_BACKOFF_S: Final = 0.1
 """Time for which a host that has declined a flow is a last resort."""
 LOWEST_PRIORITY: Final = 255
+COPY_AGES_S: Final = (0.0, 0.2, 0.6)
+"""Age of a caller's attempt when it sends the opening packet and its copies."""
+ATTEMPT_S: Final = 1.4
+"""Age at which a caller gives up an attempt."""
+SILENCE_S: Final = 0.15
+"""Time from placing a flow after which a gate that has not reported since is silent;
+gates report each change of load at once."""
+MS_PER_S: Final = 1_000.0
 DEFAULT_POLICY: Final = LoadPolicy()
+NO_DETAILS: Final[Mapping[str, object]] = MappingProxyType({})
 
 
 class FrontTransport(FleetTransport, Protocol):
@@ -93,7 +112,9 @@
             data_centre=data_centre,
             node_port=node_port,
             now=now,
+            learns_round_trips=policy.by_delay or policy.by_deadline,
         )
+        self._chooser = HostChooser(policy, ip, data_centre)
         self._hints: Hints[Host] = Hints()
         self._declined_by: Hints[set[str]] = Hints()
         self._startup_buffer = StartupBuffer(now)
@@ -143,16 +164,38 @@
             self._refuse(packet, flow, "no route")
             return
         service = route.choose_service(flow)
-        if packets.get_ack(packet) == 0:
+        copy = packets.get_ack(packet)
+        elapsed_s = COPY_AGES_S[min(copy, len(COPY_AGES_S) - 1)] + now - arrived_at
+        if copy == 0:
             # The caller may have reused its port; discard what its earlier flow left.
             self._declined_by.remove(flow)
         elif host is not None and host.service == service and host.is_alive(now):
-            # A copy of the packet must go to the same host.
-            self._transport.send_to_gate(
-                host.address, _build_open_header(service, route) + packet
-            )
-            return
-        self._place(packet, flow, route, now)
+            declined_by = self._declined_by.get(flow)
+            if not declined_by or not self._is_cut_off(host, now):
+                # A copy of the packet must go to the same host.
+                self._send_open(packet, host, service, route, elapsed_s)
+                return
+            # The flow was declined once, and its second host gives no sign.
+            declined_by.add(host.ip)
+        self._place(packet, flow, route, elapsed_s, now)
+
+    def _is_cut_off(self, host: Host, now: float) -> bool:
+        """Return whether a gate has not reported since a flow was placed there.
+
+        The link to it may be cut.
+        """
+        if not self._policy.by_deadline or not host.unreported:
+            return False
+        return now - host.unreported[0] > SILENCE_S
+
+    def _send_open(
+        self, packet: bytes, host: Host, service: str, route: Route, elapsed_s: float
+    ) -> None:
+        if self._policy.by_deadline and host.protocol >= TIMED_PROTOCOL:
+            header = _build_timed_open_header(packet, service, route, elapsed_s)
+        else:
+            header = _build_open_header(service, route)
+        self._transport.send_to_gate(host.address, header + packet)
 
     def _can_decide(self, packet: bytes) -> bool:
         """Return whether the front knows enough to place or refuse a packet."""
@@ -164,20 +207,53 @@
         hosts = self.fleet.iterate_hosts(route)
         return any(host.state is HostState.READY for host in hosts)
 
-    def _place(self, packet: bytes, flow: bytes, route: Route, now: float) -> None:
+    def _place(
+        self,
+        packet: bytes,
+        flow: bytes,
+        route: Route,
+        elapsed_s: float,
+        now: float,
+        declined_as: str = "",
+    ) -> None:
+        """Place a flow, or refuse it if no host can take it.
+
+        Parameters
+        ----------
+        packet, flow : bytes
+            Opening packet and key of its flow.
+        route : Route
+            Route of the flow.
+        elapsed_s : float
+            Time since the caller's first packet of this attempt, in seconds.
+        now : float
+            Time, in seconds.
+        declined_as : str
+            Reason of the gate that has just declined the flow, empty if none has.
+        """
         service = route.choose_service(flow)
-        declined_by = self._declined_by.get(flow)
-        host = None
-        if declined_by is None or len(declined_by) < MAX_PLACEMENTS:
-            host = choose_host(
-                self.fleet.get_hosts(service),
-                self._data_centre,
-                self.fleet.evacuations.data_centres,
-                declined_by or (),
-                now,
-            )
+        declined_by = self._declined_by.get(flow) or ()
+        if len(declined_by) >= MAX_PLACEMENTS:
+            self._refuse(packet, flow, "busy" if declined_as == "busy" else "no host")
+            return
+        left_s = route.deadline_s - elapsed_s
+        if declined_as == "busy":
+            left_s = min(left_s, ATTEMPT_S - elapsed_s)
+        choice = self._chooser.choose(
+            self.fleet.get_hosts(service),
+            NewFlow(flow, service, compute_route_tag(packets.get_route(packet))),
+            self.fleet.evacuations.data_centres,
+            declined_by,
+            left_s,
+            now,
+        )
+        host = choice.host
+        details = self._describe_choice(choice.expected_s, left_s, declined_as)
         if host is None:
-            self._refuse(packet, flow, "no host")
+            if choice.reason == "overload":
+                self.fleet.widen_contacts(service, now)
+            is_busy = declined_as == "busy" and choice.reason == "no host"
+            self._refuse(packet, flow, "busy" if is_busy else choice.reason, details)
             return
         if host.estimate_queue(now) >= 1.0:
             self.fleet.widen_contacts(service, now)
@@ -191,14 +267,31 @@
             in_flight=host.in_flight,
             unreported=len(host.unreported),
             report_age_s=round(now - host.last_heard_at, 3),
-            declines=0 if declined_by is None else len(declined_by),
+            declines=len(declined_by),
             version=self.fleet.version,
+            **details,
         )
-        self._transport.send_to_gate(
-            host.address, _build_open_header(service, route) + packet
-        )
-
-    def _refuse(self, packet: bytes, flow: bytes, reason: str) -> None:
+        self._send_open(packet, host, service, route, elapsed_s)
+
+    def _describe_choice(
+        self, expected_s: float, left_s: float, declined_as: str
+    ) -> dict[str, object]:
+        """Return the log fields of a choice by expected time or deadline."""
+        if not (self._policy.by_delay or self._policy.by_deadline):
+            return {}
+        return {
+            "expected_s": round(expected_s, 3),
+            "left_s": round(left_s, 3),
+            "declined_as": declined_as,
+        }
+
+    def _refuse(
+        self,
+        packet: bytes,
+        flow: bytes,
+        reason: str,
+        details: Mapping[str, object] = NO_DETAILS,
+    ) -> None:
         """Reset an opening flow, so that its caller knows at once.
 
         A copy of an opening packet is refused only if this front has seen the first
@@ -215,6 +308,7 @@
             copy=packets.get_ack(packet),
             version=self.fleet.version,
             out=sorted(self.fleet.evacuations.data_centres),
+            **details,
         )
         if not is_refused:
             return
@@ -255,7 +349,7 @@
             self._events.count("messages.unreadable")
             return
         flow = packets.get_flow(packet)
-        reason = message[1]
+        reason = _describe_reason(message[1])
         host = self._hints.get(flow)
         if host is None or host.ip != sender:
             self._events.count("declines.outdated")
@@ -271,19 +365,20 @@
             "declined",
             flow,
             host=sender,
-            reason=_describe_reason(reason),
+            reason=reason,
             declines=len(declined_by),
         )
         route = self.fleet.find_route(packet)
         if route is None:
             self._refuse(packet, flow, "no route")
             return
-        if reason == DeclineReason.BUSY:
+        if reason == "busy" and not self._policy.by_deadline:
             # The packet has waited at the least busy host. Another wait would outlast
             # the caller's attempt and take a slot for an abandoned request.
             self._refuse(packet, flow, "busy")
             return
-        self._place(packet, flow, route, now)
+        elapsed_s = _compute_elapsed(message, packet, route, reason)
+        self._place(packet, flow, route, elapsed_s, now, reason)
 
     def _handle_stray(self, packet: bytes, sender: str, now: float) -> None:
         if not packets.is_packet(packet):
@@ -343,6 +438,32 @@
     return OPEN_HEADER.pack(Kind.OPEN, compute_service_tag(service), priority)
 
 
+def _build_timed_open_header(
+    packet: bytes, service: str, route: Route, elapsed_s: float
+) -> bytes:
+    return TIMED_OPEN_HEADER.pack(
+        Kind.TIMED_OPEN,
+        compute_service_tag(service),
+        min(max(route.priority, 0), LOWEST_PRIORITY),
+        compute_route_tag(packets.get_route(packet)),
+        clamp_ms(route.objective_s - elapsed_s),
+        clamp_ms(route.deadline_s - elapsed_s),
+    )
+
+
+def _compute_elapsed(message: bytes, packet: bytes, route: Route, reason: str) -> float:
+    """Return the age of a caller's attempt when a gate has declined it, in seconds.
+
+    A gate that was sent no deadline does not state the time left. It declines at once
+    unless it is busy.
+    """
+    if message[0] == Kind.TIMED_DECLINED:
+        left_ms: int = TIMED_DECLINED_HEADER.unpack_from(message)[-1]
+        return max(0.0, (clamp_ms(route.deadline_s) - left_ms) / MS_PER_S)
+    copy_age_s = COPY_AGES_S[min(packets.get_ack(packet), len(COPY_AGES_S) - 1)]
+    return copy_age_s + (MAX_WAIT_S if reason == "busy" else 0.0)
+
+
 def _describe_reason(reason: int) -> str:
     try:
         return DeclineReason(reason).name.lower()
--- a/src/balsamstream/flows/placement.py
+++ b/src/balsamstream/flows/placement.py
@@ -8,11 +8,13 @@
 
 from __future__ import annotations
 
+import zlib
 from collections import deque
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 from .heartbeat import HostState
+from .round_trip import RoundTrip
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
@@ -22,6 +24,7 @@
 ALIVE_TIMEOUT_S: Final = 1.2
 """Silence of a gate after which it gets no new flows; it answers hellos twice a
 second."""
+MS_PER_S: Final = 1_000.0
 COLD_FACTOR: Final = 2.0
 """Factor by which the load of a cold host is weighted."""
 LOST_TIMEOUT_S: Final = 3.0
@@ -33,6 +36,8 @@
 REPORT_DELAY_S: Final = 0.005
 """Time from placing a flow until reports include it: a round trip between data centres
 and some time at the gate."""
+REPORT_MARGIN_S: Final = 0.002
+"""Time at the gate from an opening packet to a report, added to a known round trip."""
 
 
 @dataclass(slots=True)
@@ -77,6 +82,14 @@
     avoid_until : float
         Time until which the host is a last resort, as it has declined a flow, in
         seconds.
+    reported_at : float
+        As `last_heard_at`, but pauses of this process count as age of the report.
+    service_times : dict of int to float
+        Median service time by route tag, as last reported, in seconds.
+    round_trip : RoundTrip
+        Round trip to the gate; stays unknown unless the front learns it.
+    seed : int
+        Number that differs from host to host, for hashes.
     """
 
     ip: str
@@ -99,6 +112,13 @@
     wait_s: float = 0.0
     routes: list[RouteReport] = field(default_factory=list)
     asked_at: float | None = None
+    reported_at: float = -1e9
+    service_times: dict[int, float] = field(default_factory=dict)
+    round_trip: RoundTrip = field(default_factory=RoundTrip)
+    seed: int = 0
+
+    def __post_init__(self) -> None:
+        self.seed = zlib.crc32(self.ip.encode())
 
     def is_alive(self, now: float) -> bool:
         """Return whether the gate has been heard within its timeout."""
@@ -121,10 +141,23 @@
         self.in_flight = in_flight
         self.flows = flows
         self.last_heard_at = now
+        self.reported_at = now
         self.asked_at = None
-        while self.unreported and now - self.unreported[0] > REPORT_DELAY_S:
+        delay_s = REPORT_DELAY_S
+        if self.round_trip.min_s is not None:
+            delay_s = self.round_trip.min_s + REPORT_MARGIN_S
+        while self.unreported and now - self.unreported[0] > delay_s:
             self.unreported.popleft()
 
+    def record_routes(self, routes: list[RouteReport]) -> None:
+        """Record the reported answers of the routes."""
+        self.routes = routes
+        self.service_times = {
+            each.route_tag: each.service_ms / MS_PER_S
+            for each in routes
+            if each.answers > 0 and each.service_ms > 0.0
+        }
+
     def record_placement(self, now: float) -> None:
         """Record that a flow was placed on the host."""
         self.unreported.append(now)
@@ -140,6 +173,15 @@
         return queue
 
 
+def is_usable(
+    host: Host, evacuated: Collection[str], declined_by: Collection[str], now: float
+) -> bool:
+    """Return whether a new flow that some hosts have declined may go to a host."""
+    if host.state is not HostState.READY or host.ip in declined_by:
+        return False
+    return host.data_centre not in evacuated and host.is_alive(now)
+
+
 def choose_host(
     hosts: Iterable[Host],
     data_centre: str,
@@ -173,9 +215,7 @@
     best: Host | None = None
     best_rank = (0, 0.0, 0)
     for host in hosts:
-        if host.state is not HostState.READY or host.ip in declined_by:
-            continue
-        if host.data_centre in evacuated or not host.is_alive(now):
+        if not is_usable(host, evacuated, declined_by, now):
             continue
         queue = host.estimate_queue(now)
         is_busy = queue >= 1.0 or now < host.avoid_until
@@ -189,4 +229,4 @@
     return best
 
 
-__all__ = ["Host", "choose_host"]
+__all__ = ["Host", "choose_host", "is_usable"]
--- a/tests/flows/deployment.py
+++ b/tests/flows/deployment.py
@@ -403,7 +403,12 @@
     """Build a desired state that sends each route to one service."""
     built = {
         packets.pack_route(*key): Route(
-            "r", (Share(service, 1.0),), more.get("priority", 1), True, 2.0, 0.25
+            "r",
+            (Share(service, 1.0),),
+            more.get("priority", 1),
+            True,
+            more.get("deadline_s", 2.0),
+            0.25,
         )
         for key, service in routes.items()
     }
