--- a/src/balsamstream/flows/delay.py
+++ b/src/balsamstream/flows/delay.py
@@ -61,11 +61,14 @@
         Service that the flow goes to.
     route_tag : int
         Tag of its route.
+    has_waited : bool
+        Whether a busy host has declined it, which may have been after a wait.
     """
 
     key: bytes
     service: str
     route_tag: int
+    has_waited: bool = False
 
 
 class DelayEstimator:
@@ -120,12 +123,14 @@
     ) -> bool:
         """Return whether a host may answer a request in the time that is left.
 
-        This is so wherever the wait is unknown.
+        Where the wait is unknown it may, but a flow that has waited already goes only
+        to a free slot: it would outlive its caller's attempt in one queue after
+        another, and then take a slot from a flow that is in time.
         """
+        if not is_wait_known(host, now):
+            return not flow.has_waited or host.estimate_queue(now) < 1.0
         service_s = host.service_times.get(flow.route_tag, typical_s or 0.0)
-        if self.estimate_soonest(host, service_s, now) <= left_s:
-            return True
-        return not is_wait_known(host, now)
+        return self.estimate_soonest(host, service_s, now) <= left_s
 
     def estimate_soonest(self, host: Host, service_s: float, now: float) -> float:
         """Return the time until an answer, without the weights of the choice.
--- a/src/balsamstream/flows/front.py
+++ b/src/balsamstream/flows/front.py
@@ -182,11 +182,11 @@
     def _is_cut_off(self, host: Host, now: float) -> bool:
         """Return whether a gate has not reported since a flow was placed there.
 
-        The link to it may be cut.
+        The link to it may be cut. A pause of this process is no silence of the gate.
         """
         if not self._policy.by_deadline or not host.unreported:
             return False
-        return now - host.unreported[0] > SILENCE_S
+        return now - max(host.unreported[0], host.last_heard_at) > SILENCE_S
 
     def _send_open(
         self, packet: bytes, host: Host, service: str, route: Route, elapsed_s: float
@@ -237,11 +237,13 @@
             self._refuse(packet, flow, "busy" if declined_as == "busy" else "no host")
             return
         left_s = route.deadline_s - elapsed_s
-        if declined_as == "busy":
+        has_waited = declined_as == "busy"
+        if has_waited:
             left_s = min(left_s, ATTEMPT_S - elapsed_s)
+        route_tag = compute_route_tag(packets.get_route(packet))
         choice = self._chooser.choose(
             self.fleet.get_hosts(service),
-            NewFlow(flow, service, compute_route_tag(packets.get_route(packet))),
+            NewFlow(flow, service, route_tag, has_waited),
             self.fleet.evacuations.data_centres,
             declined_by,
             left_s,
@@ -252,7 +254,7 @@
         if host is None:
             if choice.reason == "overload":
                 self.fleet.widen_contacts(service, now)
-            is_busy = declined_as == "busy" and choice.reason == "no host"
+            is_busy = has_waited and choice.reason == "no host"
             self._refuse(packet, flow, "busy" if is_busy else choice.reason, details)
             return
         if host.estimate_queue(now) >= 1.0:
--- a/src/balsamstream/flows/placement.py
+++ b/src/balsamstream/flows/placement.py
@@ -145,7 +145,7 @@
         self.asked_at = None
         delay_s = REPORT_DELAY_S
         if self.round_trip.min_s is not None:
-            delay_s = self.round_trip.min_s + REPORT_MARGIN_S
+            delay_s = max(delay_s, self.round_trip.min_s + REPORT_MARGIN_S)
         while self.unreported and now - self.unreported[0] > delay_s:
             self.unreported.popleft()
 
--- a/tests/flows/test_front_load.py
+++ b/tests/flows/test_front_load.py
@@ -31,7 +31,15 @@
 from balsamstream.platform import packets
 from standins.flow_host import RST, SYN, Packet, decode
 
-from .deployment import ROUTE, SERVICE, RecordedEvents, build_desired, to_number
+from .deployment import (
+    ROUTE,
+    SERVICE,
+    Caller,
+    Deployment,
+    RecordedEvents,
+    build_desired,
+    to_number,
+)
 
 BY_DEADLINE = LoadPolicy(by_delay=True, by_deadline=True)
 FORMER = LoadPolicy()
@@ -367,6 +375,20 @@
     assert len(alone.resets) == 1
 
 
+@pytest.mark.parametrize(("in_flight", "targets"), [(0, [OWN, FIRST]), (2, [OWN])])
+def test_second_host_of_unknown_wait_has_a_free_slot(
+    in_flight: int, targets: list[str]
+) -> None:
+    # Guards against a flow that waits at one host after another without an estimate.
+    alone = FrontAlone()
+    alone.report(OWN)
+    alone.report(FIRST, protocol=1, in_flight=in_flight)
+    packet = alone.open()
+    alone.decline(packet, 1.9)
+    assert alone.get_targets() == targets
+    assert len(alone.resets) == 2 - len(targets)
+
+
 def test_flow_that_all_hosts_decline_is_refused(alone: FrontAlone) -> None:
     packet = alone.open()
     for _ in range(4):
@@ -412,6 +434,40 @@
     assert alone.get_targets() == [OWN, FIRST]
 
 
+# Fronts with these decisions and gates of an earlier release or of this one.
+
+
+def test_flow_is_served_through_a_gate() -> None:
+    deployment = Deployment(front_policy=BY_DEADLINE)
+    deployment.add_gate(OWN)
+    deployment.add_front(FRONT)
+    deployment.pass_time(1.0)
+    caller = Caller(deployment)
+    caller.open(FRONT)
+    (answer,) = caller.send_request(FRONT)
+    assert answer.data == b"answer request"
+
+
+def test_flow_that_waited_at_gates_without_estimates_is_refused() -> None:
+    # Load pattern: more callers than all hosts can serve, at gates that report no wait.
+    # Placed at one host after another, an opening packet outlived its caller's attempt
+    # and then took a slot, and the service collapsed.
+    deployment = Deployment(front_policy=BY_DEADLINE)
+    for ip in (OWN, FIRST):
+        deployment.add_gate(ip).host.withholds_answers = True
+    deployment.add_front(FRONT)
+    deployment.pass_time(1.0)
+    for port in range(1, 13):
+        caller = Caller(deployment, port)
+        caller.open(FRONT)
+        caller.send_request(FRONT)
+    late = Caller(deployment, 99)
+    assert late.open(FRONT) == []
+    deployment.pass_time(ATTEMPT_S)
+    answers = [p for p, _ in deployment.to_callers if p.target == late.build(0).source]
+    assert [answer.flags for answer in answers] == [RST]
+
+
 # Single failures.
 
 
@@ -440,6 +496,16 @@
     assert alone.get_targets() == [OWN, FIRST, FIRST]
 
 
+def test_pause_of_the_front_is_no_cut_link(alone: FrontAlone) -> None:
+    # Guards against two hosts that hold one flow after a pause of this process.
+    packet = alone.open()
+    alone.decline(packet, 1.9)
+    alone.now += 0.2
+    alone.front.handle_pause(0.2, alone.now)
+    alone.open(copy=1)
+    assert alone.get_targets() == [OWN, FIRST, FIRST]
+
+
 def test_copy_of_a_flow_that_was_not_declined_stays(alone: FrontAlone) -> None:
     # Guards against two hosts that hold one flow.
     alone.open()
