Test that reports in place of a lost answer give no round trip

Cause: a rule that takes the last of several reports after a hello passed the tests. Change: a test with a lost answer and two unasked reports, which fails with that rule.

--- a/tests/flows/test_round_trip.py
+++ b/tests/flows/test_round_trip.py
@@ -42,6 +42,13 @@
     assert round(learned, 6) == 0.009
 
 
+def test_unasked_reports_in_place_of_a_lost_answer_give_no_sample() -> None:
+    # Guards against the same where the answer is lost and the state changes twice.
+    learned = learn((0.009,), (0.001, 0.002)).min_s
+    assert learned is not None
+    assert round(learned, 6) == 0.009
+
+
 def test_answer_to_an_earlier_hello_gives_no_sample() -> None:
     # Guards against a late answer that is taken for one to the next hello.
     round_trip = RoundTrip()
