Record answers by route at gates, reduce the use of outliers at fronts

Cause: a host that fails in 1 ms is always the least loaded, so it attracts the most new flows; nothing compares a host's answers with those of its peers. Change: a gate follows requests and reports counts, median service time, lower quartile of bytes and failures by route; a front compares the hosts of a service and offers an outlier one flow a second, then a quarter, then all. Off unless load.outliers is set.

--- a/src/balsamstream/flows/fleet.py
+++ b/src/balsamstream/flows/fleet.py
@@ -16,6 +16,7 @@
 from .directory import Directory
 from .evacuation_record import EvacuationRecord
 from .heartbeat import HostState
+from .load_policy import LoadPolicy
 from .messages import (
     LOAD_MESSAGE,
     PROTOCOL,
@@ -23,9 +24,11 @@
     Hello,
     NodeName,
     Report,
+    compute_route_tag,
     decode_control,
     encode_control,
 )
+from .outliers import OutlierDetector
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -43,6 +46,7 @@
 NAMES_INTERVAL: Final = 4
 """Hellos to a node between two that name other nodes."""
 DEFAULT_IDLE_S: Final = 60.0
+DEFAULT_POLICY: Final = LoadPolicy()
 MS_PER_S: Final = 1_000.0
 
 
@@ -74,6 +78,8 @@
         Port on which nodes receive messages.
     now : float
         Time, in seconds.
+    policy : LoadPolicy
+        Decisions under load that are switched on.
 
     Attributes
     ----------
@@ -94,6 +100,7 @@
         data_centre: str,
         node_port: int,
         now: float,
+        policy: LoadPolicy = DEFAULT_POLICY,
     ) -> None:
         self._transport = transport
         self._events = events
@@ -103,6 +110,9 @@
         self._gates = self._directory.gates
         self._fronts = self._directory.fronts
         self._contacts = Contacts(ip, data_centre, self._gates, self._fronts)
+        self._outliers: OutlierDetector | None = None
+        if policy.detects_outliers:
+            self._outliers = OutlierDetector(events, self._name_route, now)
         self._hellos = 0
         self._hello_due = now
         self.desired: DesiredState | None = None
@@ -138,6 +148,14 @@
         for share in route.shares:
             yield from self._gates.get_hosts(share.service)
 
+    def _name_route(self, tag: int) -> str:
+        """Return the name of a route from its tag, or the tag if it is not known."""
+        routes = {} if self.desired is None else self.desired.routes
+        for key, route in routes.items():
+            if compute_route_tag(key) == tag:
+                return route.name
+        return f"{tag:08x}"
+
     def iterate_all_hosts(self) -> Iterator[Host]:
         """Iterate over the hosts of all services, whatever the routes."""
         yield from self._gates.hosts.values()
@@ -250,6 +268,8 @@
             gate_incarnation=host.gate_incarnation,
             sequence=host.sequence,
         )
+        if self._outliers is not None and host.state is HostState.GONE:
+            self._outliers.forget(host)
         host.state = state
 
     def handle_control(self, message: bytes, sender: str, now: float) -> None:
@@ -274,6 +294,8 @@
             host.unreported.clear()
         if report.seeks_hello and self._contacts.keep(sender, now + CONTACT_S):
             self._send_hello_to_gate(host, now)
+        if self._outliers is not None:
+            self._outliers.handle_report(host, report, now)
         host.sequence = report.sequence
         host.name = report.host
         host.protocol = report.protocol
@@ -359,6 +381,8 @@
 
     def tick(self, now: float) -> bool:
         """Send hellos and expire nodes if due; tell whether that was so."""
+        if self._outliers is not None:
+            self._outliers.tick(self._gates.hosts.values(), now)
         if now < self._hello_due:
             return False
         self.evacuations.tick(now)
--- a/src/balsamstream/flows/flow_table.py
+++ b/src/balsamstream/flows/flow_table.py
@@ -9,6 +9,7 @@
 from balsamstream.platform import packets
 
 if TYPE_CHECKING:
+    from .answer_record import AnswerRecord
     from .events import Events
 
 ENDED_RETENTION_S: Final = 3.0
@@ -124,6 +125,8 @@
     ----------
     events : Events
         Collects the times to confirm flows and to answer requests.
+    answers : AnswerRecord or None
+        Collects the outcomes of requests by route, if a decision needs them.
 
     Attributes
     ----------
@@ -133,8 +136,9 @@
         Whether the load has changed since it was last reported.
     """
 
-    def __init__(self, events: Events) -> None:
+    def __init__(self, events: Events, answers: AnswerRecord | None = None) -> None:
         self._events = events
+        self._answers = answers
         self._flows: dict[bytes, Flow] = {}
         self._unconfirmed: deque[tuple[float, Flow]] = deque()
         self.in_flight = 0
@@ -174,6 +178,8 @@
         entry = self._flows.pop(flow, None)
         if entry is not None:
             self._end_request(entry)
+            if self._answers is not None:
+                self._answers.drop(flow)
 
     def clear(self) -> None:
         """Remove all flows, as the host has restarted."""
@@ -181,6 +187,8 @@
         self._unconfirmed.clear()
         self.in_flight = 0
         self.is_load_changed = True
+        if self._answers is not None:
+            self._answers.clear()
 
     def expect_confirmation(self, entry: Flow, opened_at: float) -> None:
         """Schedule the check whether the caller has confirmed a flow."""
@@ -195,8 +203,12 @@
         entry.last_packet_at = now
         if flags & _ENDING:
             self._record_caller_end(entry, flags)
+            if self._answers is not None and flags & packets.RST:
+                self._answers.record_given_up(packets.get_flow(packet), now)
         if not packets.get_data_bytes(packet) or not entry.advance_caller_seq(packet):
             return
+        if self._answers is not None:
+            self._answers.record_request(packets.get_flow(packet), now)
         if not entry.pending_since:
             entry.pending_since = now
             self.in_flight += 1
@@ -224,6 +236,8 @@
         if not is_answer or not entry.pending_since:
             return False
         self._events.observe_answer(now - entry.pending_since)
+        if self._answers is not None:
+            self._answers.record_response(packet, now)
         self._end_request(entry)
         return True
 
--- a/src/balsamstream/flows/front.py
+++ b/src/balsamstream/flows/front.py
@@ -93,6 +93,7 @@
             data_centre=data_centre,
             node_port=node_port,
             now=now,
+            policy=policy,
         )
         self._hints: Hints[Host] = Hints()
         self._declined_by: Hints[set[str]] = Hints()
@@ -175,6 +176,7 @@
                 self.fleet.evacuations.data_centres,
                 declined_by or (),
                 now,
+                flow,
             )
         if host is None:
             self._refuse(packet, flow, "no host")
--- a/src/balsamstream/flows/gate.py
+++ b/src/balsamstream/flows/gate.py
@@ -12,6 +12,7 @@
 from balsamstream.platform import packets
 
 from .admission import Admission
+from .answer_record import AnswerRecord
 from .dispatch import OpeningDispatcher
 from .echo_tags import EchoTags
 from .flow_table import Flow, FlowTable
@@ -106,7 +107,9 @@
         self._service = service
         self._data_centre = data_centre
         self._host = HostRecord(service, heartbeat_s, now)
-        self._flows = FlowTable(events)
+        records_answers = policy.detects_outliers or policy.by_delay
+        self._answers = AnswerRecord() if records_answers else None
+        self._flows = FlowTable(events, self._answers)
         self._echo_tags = EchoTags()
         self._admission = Admission(events, self._host, service, data_centre)
         self._dispatcher = OpeningDispatcher(
@@ -165,6 +168,8 @@
             case HeartbeatOutcome.NEW_INCARNATION:
                 self._start_incarnation(heartbeat, incarnation)
         self._admission.cold_limit.set_cold_until(now + heartbeat.cold_left_s)
+        if self._answers is not None:
+            self._answers.slots = self._host.slots
         if self.state is not before:
             self._handle_state_change("heartbeat", now)
 
@@ -290,6 +295,8 @@
             objective_at=now + objective_ms / MS_PER_S,
             deadline_at=now + deadline_ms / MS_PER_S,
         )
+        if self._answers is not None:
+            self._answers.learn_objective(opening.flow, objective_ms / MS_PER_S, now)
         self._handle_opening(opening, service_tag, now)
 
     def _handle_opening(self, opening: Opening, service_tag: int, now: float) -> None:
@@ -493,6 +500,8 @@
     def handle_pause(self, gap_s: float, now: float) -> None:
         """Exclude a pause of this process from the silence of host and fronts."""
         self._host.handle_pause(gap_s)
+        if self._answers is not None:
+            self._answers.handle_pause(gap_s)
         self.reporter.handle_pause(gap_s, now)
 
     def _expire_heartbeat(self, now: float) -> None:
@@ -521,6 +530,7 @@
             seeks_hello=seeks_hello,
             may_hold_flows=self._may_hold_flows(now),
             protocol=PROTOCOL,
+            routes=[] if self._answers is None else self._answers.build_reports(now),
         )
 
     def _may_hold_flows(self, now: float) -> bool:
--- /dev/null
+++ b/src/balsamstream/flows/outliers.py
@@ -0,0 +1,425 @@
+"""Reduced use of hosts whose answers differ from those of their peers.
+
+Load pattern: a host that fails in 1 ms among ten that answer in 20 ms is always the
+least loaded and attracts the most new flows. The same holds, less strongly, for a host
+that fails half of its requests, or resets everything although it reports that it is
+ready; a host that is five times slower delays whatever is placed on it. Rare long
+requests, or a fault that all hosts share, must not reduce the use of any host.
+"""
+
+from __future__ import annotations
+
+import enum
+import zlib
+from bisect import bisect_left
+from collections import defaultdict, deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+from .heartbeat import HostState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Iterator
+
+    from .events import Events
+    from .messages import Report, RouteReport
+    from .placement import Host
+
+MIN_ANSWERS: Final = 8
+"""Requests on a route below which a host is not compared."""
+MIN_PEERS: Final = 4
+MAX_FAILURE_RATE: Final = 0.25
+MIN_FAILURES: Final = 5
+"""Failures below which the rate is not compared: of 11 requests, 3 are rare long ones
+in 0.4 % of all windows."""
+MAX_FAILURE_RATIO: Final = 4.0
+"""Failure rate relative to the peers' median; all hosts fail alike under overload."""
+MIN_BYTES_RATIO: Final = 0.5
+MAX_TIME_RATIO: Final = 3.0
+"""Service time relative to the peers' median, and the inverse of the least ratio."""
+MIN_TIME_DIFFERENCE_MS: Final = 2.0
+"""Difference of service times that timers and the scheduler of a gate may cause."""
+MAX_SEVERITY: Final = 4.0
+MAX_REDUCED_SHARE: Final = 1.0 / 3.0
+DISPLACEMENT_RATIO: Final = 1.5
+"""Severity relative to that of a reduced host above which the places are exchanged; a
+lower ratio would exchange hosts with the same fault time and again."""
+EVALUATION_INTERVAL_S: Final = 0.5
+MIN_EVALUATION_INTERVAL_S: Final = 0.25
+REPORT_ROUND_S: Final = 0.1
+"""Time from the first report of a round until the others have arrived."""
+EVIDENCE_TIMEOUT_S: Final = 3.0
+"""Age of a report above which it is no evidence."""
+EJECTION_S: Final = 2.0
+MAX_EJECTION_S: Final = 16.0
+QUARTER_S: Final = 2.0
+HISTORY_S: Final = 60.0
+"""Time for which an ejection lengthens the next one."""
+PROBE_INTERVAL_S: Final = 1.0
+RESTART_MARGIN_S: Final = 0.5
+"""Shift of the end of a cold start that delayed messages may cause."""
+_HASHES: Final = 1 << 32
+
+
+class Use(enum.Enum):
+    """Level at which a host is used for new flows."""
+
+    FULL = "full"
+    QUARTER = "quarter"
+    """One flow of four, by hash."""
+    PROBE = "probe"
+    """One flow a second."""
+
+
+QUARTER_SHARE: Final = 0.25
+
+
+def is_in_quarter(flow: bytes, ip: str) -> bool:
+    """Return whether a flow is among the quarter that a host may be chosen for."""
+    return zlib.crc32(ip.encode(), zlib.crc32(flow)) < QUARTER_SHARE * _HASHES
+
+
+@dataclass(frozen=True, slots=True)
+class Deviation:
+    """Difference of a host from its peers.
+
+    Attributes
+    ----------
+    criterion : str
+        ``failures``, ``bytes``, ``slow`` or ``fast``.
+    route_tag : int
+        Tag of the route.
+    value, peers : float
+        Figure of the host and median of its peers: share of failures, bytes or
+        milliseconds.
+    severity : float
+        How far the figure is beyond the bound, 1 to `MAX_SEVERITY`.
+    requests : int
+        Requests of the host that the figure is based on.
+    """
+
+    criterion: str
+    route_tag: int
+    value: float
+    peers: float
+    severity: float
+    requests: int
+
+
+@dataclass(slots=True)
+class _Record:
+    """Level of one host, the time until which it applies, and recent ejections."""
+
+    host: Host
+    reported_at: float = -1e9
+    until: float = 0.0
+    severity: float = 0.0
+    ejected_at: deque[float] = field(default_factory=deque)
+
+    def compute_ejection_s(self, now: float) -> float:
+        """Return the length of the next ejection, in seconds."""
+        while self.ejected_at and now - self.ejected_at[0] > HISTORY_S:
+            self.ejected_at.popleft()
+        doublings = min(len(self.ejected_at), 8)
+        return min(MAX_EJECTION_S, EJECTION_S * 2.0**doublings)
+
+
+class OutlierDetector:
+    """Sets the level of use of each host from the answers that the gates report.
+
+    Parameters
+    ----------
+    events : Events
+        Logs each change of a level.
+    name_route : callable
+        Returns the name of a route from its tag.
+    now : float
+        Time, in seconds.
+    """
+
+    def __init__(
+        self, events: Events, name_route: Callable[[int], str], now: float
+    ) -> None:
+        self._events = events
+        self._name_route = name_route
+        self._records: dict[str, _Record] = {}
+        self._evaluated_at = now
+        self._due = now + EVALUATION_INTERVAL_S
+
+    def handle_report(self, host: Host, report: Report, now: float) -> None:
+        """Note a report that is about to be adopted as the state of a host."""
+        if _is_of_new_incarnation(host, report, now):
+            self.forget(host)
+        self._get_record(host).reported_at = now
+        soon = max(now + REPORT_ROUND_S, self._evaluated_at + MIN_EVALUATION_INTERVAL_S)
+        self._due = min(self._due, soon)
+
+    def forget(self, host: Host) -> None:
+        """Return a host to full use, as another incarnation of it has started."""
+        self._records.pop(host.ip, None)
+        if host.use is Use.FULL:
+            return
+        self._log(host, Use.FULL, "new incarnation")
+        host.use = Use.FULL
+
+    def tick(self, hosts: Iterable[Host], now: float) -> None:
+        """Evaluate all hosts if that is due."""
+        if now < self._due:
+            return
+        self._due = now + EVALUATION_INTERVAL_S
+        self._evaluated_at = now
+        self.evaluate(hosts, now)
+
+    def evaluate(self, hosts: Iterable[Host], now: float) -> None:
+        """Set the level of each host from the last reports."""
+        by_service: defaultdict[str, list[Host]] = defaultdict(list)
+        records = {}
+        for host in hosts:
+            record = records[host.ip] = self._get_record(host)
+            self._continue_ramp(record, now)
+            if host.state is HostState.READY and host.is_alive(now):
+                by_service[host.service].append(host)
+        self._records = records
+        for ready in by_service.values():
+            self._evaluate_service(ready, now)
+
+    def _get_record(self, host: Host) -> _Record:
+        record = self._records.get(host.ip)
+        if record is None or record.host is not host:
+            record = self._records[host.ip] = _Record(host)
+        return record
+
+    # Recovery.
+
+    def _continue_ramp(self, record: _Record, now: float) -> None:
+        """Return a host to the next level once its time at the present one is over."""
+        host = record.host
+        if host.use is Use.FULL or now < record.until:
+            return
+        if host.use is Use.PROBE:
+            record.until = now + QUARTER_S
+            self._set_use(host, Use.QUARTER, "time is over")
+            return
+        self._set_use(host, Use.FULL, "time is over")
+
+    # Comparison with the peers.
+
+    def _evaluate_service(self, ready: list[Host], now: float) -> None:
+        limit = int(len(ready) * MAX_REDUCED_SHARE)
+        reduced = [host for host in ready if host.use is not Use.FULL]
+        self._restore_above_limit(reduced, limit)
+        fresh = [
+            host
+            for host in ready
+            if now - self._records[host.ip].reported_at <= EVIDENCE_TIMEOUT_S
+        ]
+        found = find_deviations(fresh)
+        worst_first = sorted(found.values(), key=lambda each: -each[1].severity)
+        for host, deviation in worst_first:
+            self._reduce(host, deviation, reduced, limit, now)
+
+    def _restore_above_limit(self, reduced: list[Host], limit: int) -> None:
+        """Restore the mildest cases while more than the allowed share is reduced."""
+        while len(reduced) > limit:
+            self._restore_mildest(reduced, "too many")
+
+    def _restore_mildest(self, reduced: list[Host], reason: str) -> None:
+        mildest = min(reduced, key=lambda host: self._records[host.ip].severity)
+        reduced.remove(mildest)
+        self._set_use(mildest, Use.FULL, reason)
+
+    def _reduce(
+        self,
+        host: Host,
+        deviation: Deviation,
+        reduced: list[Host],
+        limit: int,
+        now: float,
+    ) -> None:
+        """Eject a host that deviates, unless too many are at a reduced level."""
+        record = self._records[host.ip]
+        if host.use is Use.PROBE:
+            record.severity = deviation.severity
+            return
+        if host.use is Use.FULL:
+            if not self._make_room(deviation, reduced, limit):
+                self._events.count("outliers.spared")
+                return
+            reduced.append(host)
+        ejection_s = record.compute_ejection_s(now)
+        record.ejected_at.append(now)
+        record.until = now + ejection_s
+        record.severity = deviation.severity
+        host.probe_due = now + PROBE_INTERVAL_S
+        self._events.count("outliers.ejected")
+        self._set_use(
+            host,
+            Use.PROBE,
+            deviation.criterion,
+            route=self._name_route(deviation.route_tag),
+            value=round(deviation.value, 3),
+            peers=round(deviation.peers, 3),
+            requests=deviation.requests,
+            ejection_s=ejection_s,
+            reduced=len(reduced),
+            limit=limit,
+        )
+
+    def _make_room(self, deviation: Deviation, reduced: list[Host], limit: int) -> bool:
+        """Restore a milder case if needed; tell whether one more may be reduced."""
+        if len(reduced) < limit:
+            return True
+        if not reduced:
+            return False
+        mildest = min(self._records[host.ip].severity for host in reduced)
+        if deviation.severity <= mildest * DISPLACEMENT_RATIO:
+            return False
+        self._restore_mildest(reduced, "a worse host")
+        return True
+
+    def _set_use(self, host: Host, use: Use, reason: str, **evidence: object) -> None:
+        self._log(host, use, reason, **evidence)
+        host.use = use
+
+    def _log(self, host: Host, use: Use, reason: str, **evidence: object) -> None:
+        self._events.emit(
+            "host_use",
+            host=host.ip,
+            service=host.service,
+            use=use.value,
+            before=host.use.value,
+            reason=reason,
+            **evidence,
+        )
+
+
+def _is_of_new_incarnation(host: Host, report: Report, now: float) -> bool:
+    """Return whether a report shows that a host was replaced or has restarted."""
+    if host.name and host.name != report.host:
+        return True
+    if report.cold_left_s <= 0.0:
+        return False
+    return now + report.cold_left_s > host.cold_until + RESTART_MARGIN_S
+
+
+def find_deviations(hosts: Iterable[Host]) -> dict[str, tuple[Host, Deviation]]:
+    """Find the worst deviation of each host of a service from its peers.
+
+    Parameters
+    ----------
+    hosts : iterable of Host
+        Hosts of one service with recent reports.
+
+    Returns
+    -------
+    dict of str to tuple of Host and Deviation
+        Hosts that deviate on any route, by address.
+    """
+    by_route: defaultdict[int, list[tuple[Host, RouteReport]]] = defaultdict(list)
+    for host in hosts:
+        for report in host.routes:
+            by_route[report.route_tag].append((host, report))
+    found: dict[str, tuple[Host, Deviation]] = {}
+    for reports in by_route.values():
+        for host, deviation in _compare_route(reports):
+            worst = found.get(host.ip)
+            if worst is None or worst[1].severity < deviation.severity:
+                found[host.ip] = (host, deviation)
+    return found
+
+
+def _compare_route(
+    reports: list[tuple[Host, RouteReport]],
+) -> Iterator[tuple[Host, Deviation]]:
+    served = [
+        each for each in reports if each[1].answers + each[1].failures >= MIN_ANSWERS
+    ]
+    failed = _compare(served, _get_failure_rate, _check_failures)
+    for host, deviation in failed:
+        if deviation.value * deviation.requests >= MIN_FAILURES - 0.5:
+            yield host, deviation
+    answered = [each for each in served if each[1].answers >= MIN_ANSWERS]
+    yield from _compare(answered, _get_bytes, _check_bytes)
+    yield from _compare(answered, _get_service_ms, _check_time)
+
+
+def _compare(
+    reports: list[tuple[Host, RouteReport]],
+    get_value: Callable[[RouteReport], float],
+    check: Callable[[float, float], tuple[str, float] | None],
+) -> Iterator[tuple[Host, Deviation]]:
+    """Iterate over the hosts whose figure fails a check against their peers' median."""
+    if len(reports) <= MIN_PEERS:
+        return
+    ordered = sorted(get_value(report) for _, report in reports)
+    for host, report in reports:
+        value = get_value(report)
+        peers = compute_peer_median(ordered, value)
+        failed = check(value, peers)
+        if failed is None:
+            continue
+        criterion, ratio = failed
+        severity = min(MAX_SEVERITY, ratio)
+        requests = report.answers + report.failures
+        tag = report.route_tag
+        yield host, Deviation(criterion, tag, value, peers, severity, requests)
+
+
+def compute_peer_median(ordered: list[float], value: float) -> float:
+    """Return the median of sorted figures without one occurrence of a given one."""
+    position = bisect_left(ordered, value)
+    peers = len(ordered) - 1
+    middle = (_get_peer(ordered, position, index) for index in _get_middle(peers))
+    return sum(middle) / 2.0
+
+
+def _get_peer(ordered: list[float], position: int, index: int) -> float:
+    return ordered[index if index < position else index + 1]
+
+
+def _get_middle(count: int) -> tuple[int, int]:
+    return (count - 1) // 2, count // 2
+
+
+def _get_failure_rate(report: RouteReport) -> float:
+    return report.failures / (report.answers + report.failures)
+
+
+def _get_bytes(report: RouteReport) -> float:
+    return float(report.answer_bytes)
+
+
+def _get_service_ms(report: RouteReport) -> float:
+    return report.service_ms
+
+
+def _check_failures(rate: float, peers: float) -> tuple[str, float] | None:
+    if rate <= MAX_FAILURE_RATE or rate <= MAX_FAILURE_RATIO * peers:
+        return None
+    return "failures", rate / MAX_FAILURE_RATE
+
+
+def _check_bytes(size: float, peers: float) -> tuple[str, float] | None:
+    if size >= MIN_BYTES_RATIO * peers:
+        return None
+    return "bytes", MIN_BYTES_RATIO * peers / max(size, 1.0)
+
+
+def _check_time(time_ms: float, peers_ms: float) -> tuple[str, float] | None:
+    if abs(time_ms - peers_ms) < MIN_TIME_DIFFERENCE_MS:
+        return None
+    if time_ms > MAX_TIME_RATIO * peers_ms:
+        return "slow", time_ms / max(MAX_TIME_RATIO * peers_ms, 0.01)
+    if time_ms * MAX_TIME_RATIO < peers_ms:
+        return "fast", peers_ms / max(MAX_TIME_RATIO * time_ms, 0.01)
+    return None
+
+
+__all__ = [
+    "Deviation",
+    "OutlierDetector",
+    "Use",
+    "compute_peer_median",
+    "find_deviations",
+    "is_in_quarter",
+]
--- a/src/balsamstream/flows/placement.py
+++ b/src/balsamstream/flows/placement.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING, Final
 
 from .heartbeat import HostState
+from .outliers import PROBE_INTERVAL_S, Use, is_in_quarter
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
@@ -35,6 +36,10 @@
 and some time at the gate."""
 
 
+_FULL: Final = Use.FULL
+"""Read for each host at each placement; access to an enumeration member is slower."""
+
+
 @dataclass(slots=True)
 class Host:
     """State of a host and its gate, as a front knows it.
@@ -77,6 +82,10 @@
     avoid_until : float
         Time until which the host is a last resort, as it has declined a flow, in
         seconds.
+    use : Use
+        Level at which the host is used for new flows.
+    probe_due : float
+        Time of the next flow that probes the host, in seconds.
     """
 
     ip: str
@@ -99,6 +108,8 @@
     wait_s: float = 0.0
     routes: list[RouteReport] = field(default_factory=list)
     asked_at: float | None = None
+    use: Use = Use.FULL
+    probe_due: float = 0.0
 
     def is_alive(self, now: float) -> bool:
         """Return whether the gate has been heard within its timeout."""
@@ -128,6 +139,15 @@
     def record_placement(self, now: float) -> None:
         """Record that a flow was placed on the host."""
         self.unreported.append(now)
+        self.probe_due = now + PROBE_INTERVAL_S
+
+    def is_eligible(self, flow: bytes, now: float) -> bool:
+        """Return whether the level of use allows the host to be chosen for a flow."""
+        if self.use is _FULL:
+            return True
+        if self.use is Use.PROBE:
+            return now >= self.probe_due
+        return is_in_quarter(flow, self.ip)
 
     def estimate_queue(self, now: float) -> float:
         """Return the estimated requests per slot ahead of a new one.
@@ -146,11 +166,13 @@
     evacuated: Collection[str],
     declined_by: Collection[str],
     now: float,
+    flow: bytes = b"",
 ) -> Host | None:
     """Choose the host for a new flow.
 
     Hosts with a free slot go first, those of the front's data centre before others, and
-    then by queue and open flows. Busy hosts and hosts to avoid go last.
+    then by queue and open flows. Busy hosts and hosts to avoid go last, and after them
+    hosts whose reduced use excludes the flow.
 
     Parameters
     ----------
@@ -164,6 +186,8 @@
         Hosts that have declined this flow, by address.
     now : float
         Time, in seconds.
+    flow : bytes
+        Key of the flow.
 
     Returns
     -------
@@ -171,7 +195,7 @@
         The host, or None if no host can take the flow.
     """
     best: Host | None = None
-    best_rank = (0, 0.0, 0)
+    best_rank = (False, 0, 0.0, 0)
     for host in hosts:
         if host.state is not HostState.READY or host.ip in declined_by:
             continue
@@ -183,7 +207,8 @@
             tier = 2
         else:
             tier = 0 if host.data_centre == data_centre else 1
-        rank = (tier, queue, host.flows)
+        is_excluded = host.use is not _FULL and not host.is_eligible(flow, now)
+        rank = (is_excluded, tier, queue, host.flows)
         if best is None or rank < best_rank:
             best, best_rank = host, rank
     return best
