--- a/src/balsamstream/flows/answer_record.py
+++ b/src/balsamstream/flows/answer_record.py
@@ -88,7 +88,8 @@
         return RouteReport(
             route_tag=compute_route_tag(route),
             answers=count,
-            service_ms=round(times[count // 2] * MS_PER_S, 2) if count else 0.0,
+            # The lower one of two medians: 4 of 8 requests are long ones now and then.
+            service_ms=round(times[(count - 1) // 2] * MS_PER_S, 2) if count else 0.0,
             answer_bytes=sizes[count // 4] if count else 0,
             failures=len(self.samples) - count,
         )
--- a/src/balsamstream/flows/outliers.py
+++ b/src/balsamstream/flows/outliers.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import enum
+import math
 import zlib
 from bisect import bisect_left
 from collections import defaultdict, deque
@@ -29,9 +30,11 @@
 """Requests on a route below which a host is not compared."""
 MIN_PEERS: Final = 4
 MAX_FAILURE_RATE: Final = 0.25
-MIN_FAILURES: Final = 5
-"""Failures below which the rate is not compared: of 11 requests, 3 are rare long ones
-in 0.4 % of all windows."""
+FAILURE_DEVIATIONS: Final = 2.5
+MIN_CERTAIN_FAILURE_RATE: Final = 0.1
+"""Rate that remains after subtracting `FAILURE_DEVIATIONS` standard deviations. Where
+3 % of the requests are too long for the objective, 3 of 11 requests fail in 0.4 % of
+all windows, and 5 of 16 in 0.005 %."""
 MAX_FAILURE_RATIO: Final = 4.0
 """Failure rate relative to the peers' median; all hosts fail alike under overload."""
 MIN_BYTES_RATIO: Final = 0.5
@@ -39,6 +42,12 @@
 """Service time relative to the peers' median, and the inverse of the least ratio."""
 MIN_TIME_DIFFERENCE_MS: Final = 2.0
 """Difference of service times that timers and the scheduler of a gate may cause."""
+MIN_SPREADS: Final = 5.0
+"""Distance from the peers' median, relative to the median distance of all hosts (both
+of logarithms). Without this bound, 5 % of the healthy hosts with 8 answers deviate on a
+route whose answers vary in size by a factor of 20."""
+MIN_FIGURE: Final = 0.01
+"""Bytes or milliseconds below which figures are not told apart."""
 MAX_SEVERITY: Final = 4.0
 MAX_REDUCED_SHARE: Final = 1.0 / 3.0
 DISPLACEMENT_RATIO: Final = 1.5
@@ -336,11 +345,19 @@
     ]
     failed = _compare(served, _get_failure_rate, _check_failures)
     for host, deviation in failed:
-        if deviation.value * deviation.requests >= MIN_FAILURES - 0.5:
+        if _is_certain(deviation.value, deviation.requests):
             yield host, deviation
     answered = [each for each in served if each[1].answers >= MIN_ANSWERS]
-    yield from _compare(answered, _get_bytes, _check_bytes)
-    yield from _compare(answered, _get_service_ms, _check_time)
+    for get_value, check in (
+        (_get_bytes, _check_bytes),
+        (_get_service_ms, _check_time),
+    ):
+        spread = MIN_SPREADS * _compute_spread(
+            [get_value(each) for _, each in answered]
+        )
+        for host, deviation in _compare(answered, get_value, check):
+            if _get_distance(deviation.value, deviation.peers) > spread:
+                yield host, deviation
 
 
 def _compare(
@@ -373,6 +390,25 @@
     return sum(middle) / 2.0
 
 
+def _is_certain(rate: float, requests: int) -> bool:
+    """Return whether a failure rate is high beyond what few requests show by chance."""
+    deviation = math.sqrt(rate * (1.0 - rate) / requests)
+    return rate - FAILURE_DEVIATIONS * deviation > MIN_CERTAIN_FAILURE_RATE
+
+
+def _compute_spread(values: list[float]) -> float:
+    """Return the median distance of figures from their median."""
+    if not values:
+        return 0.0
+    median = sorted(values)[len(values) // 2]
+    return sorted(_get_distance(each, median) for each in values)[len(values) // 2]
+
+
+def _get_distance(value: float, other: float) -> float:
+    """Return the distance of the logarithms of two figures."""
+    return abs(math.log(max(value, MIN_FIGURE) / max(other, MIN_FIGURE)))
+
+
 def _get_peer(ordered: list[float], position: int, index: int) -> float:
     return ordered[index if index < position else index + 1]
 
