Test outlier detection under failures of messages, nodes and hosts

Cause: the levels of use had no tests of lost reports, restarted fronts, gates of an earlier release and replaced hosts. The first evaluation follows the first round of reports at once.

--- a/src/balsamstream/flows/outliers.py
+++ b/src/balsamstream/flows/outliers.py
@@ -152,7 +152,7 @@
         self._events = events
         self._name_route = name_route
         self._records: dict[str, _Record] = {}
-        self._evaluated_at = now
+        self._evaluated_at = -math.inf
         self._due = now + EVALUATION_INTERVAL_S
 
     def handle_report(self, host: Host, report: Report, now: float) -> None:
--- a/tests/flows/deployment.py
+++ b/tests/flows/deployment.py
@@ -18,6 +18,7 @@
 from balsamstream.flows.front import Front
 from balsamstream.flows.gate import Gate
 from balsamstream.flows.heartbeat import Heartbeat, HostState
+from balsamstream.flows.load_policy import LoadPolicy
 from balsamstream.flows.messages import Kind, NodeName
 from balsamstream.platform import packets
 from standins.flow_host import ACK, FIN, SYN, FlowHost, Packet, decode
@@ -27,6 +28,7 @@
 SERVICE = "comptoir"
 HEARTBEAT_S = 1.0
 STEP_S = 0.01
+DEFAULT_POLICY = LoadPolicy()
 
 
 class RecordedEvents:
@@ -81,6 +83,7 @@
     sends_heartbeats: bool = True
     has_host: bool = True
     is_up: bool = True
+    policy: LoadPolicy | None = None
 
     def __post_init__(self) -> None:
         self.start()
@@ -96,6 +99,7 @@
             incarnation=self.gate_incarnation,
             heartbeat_s=HEARTBEAT_S,
             now=self.deployment.now,
+            policy=self.deployment.policy if self.policy is None else self.policy,
         )
 
     def restart(self) -> None:
@@ -170,6 +174,7 @@
             data_centre=self.data_centre,
             node_port=NODE_PORT,
             now=self.deployment.now,
+            policy=self.deployment.policy,
         )
         self.front.fleet.apply_desired_state(
             self.deployment.desired, "test", self.deployment.now
@@ -211,10 +216,18 @@
         Sizes of the control and load messages that each node has sent, in bytes.
     loss : float
         Share of the messages between nodes that are lost, 0 to 1.
+    policy : LoadPolicy
+        Decisions under load that all nodes make.
     """
 
-    def __init__(self, route: tuple[str, int] = ROUTE, loss: float = 0.0) -> None:
+    def __init__(
+        self,
+        route: tuple[str, int] = ROUTE,
+        loss: float = 0.0,
+        policy: LoadPolicy = DEFAULT_POLICY,
+    ) -> None:
         self.now = 100.0
+        self.policy = policy
         self.gates: dict[str, GateNode] = {}
         self.fronts: dict[str, FrontNode] = {}
         self.to_callers: list[tuple[Packet, str]] = []
