--- a/src/balsamstream/flows/choice.py
+++ b/src/balsamstream/flows/choice.py
@@ -84,15 +84,21 @@
             Time, in seconds.
         """
         if not (self._policy.by_delay or self._policy.by_deadline):
-            host = choose_host(hosts, self._data_centre, evacuated, declined_by, now)
+            host = choose_host(
+                hosts, self._data_centre, evacuated, declined_by, now, flow.key
+            )
             return Choice(host, "no host")
         usable = [
             host for host in hosts if is_usable(host, evacuated, declined_by, now)
         ]
         if not usable:
             return Choice(None, "no host")
+        # A host of reduced use is chosen only if no other can take the flow.
+        eligible = [host for host in usable if host.is_eligible(flow.key, now)]
         typical_s = self._estimator.get_typical_service_s(hosts, flow, now)
-        chosen, expected_s = self._choose_usable(usable, flow, typical_s, now)
+        chosen, expected_s = self._choose_usable(
+            eligible or usable, flow, typical_s, now
+        )
         if not self._policy.by_deadline:
             return Choice(chosen, "", expected_s)
 
@@ -101,7 +107,9 @@
 
         if can_answer(chosen):
             return Choice(chosen, "", expected_s)
-        in_time = [host for host in usable if can_answer(host)]
+        in_time = [host for host in eligible if can_answer(host)] or [
+            host for host in usable if can_answer(host)
+        ]
         if not in_time:
             return Choice(None, "overload", expected_s)
         chosen, expected_s = self._choose_usable(in_time, flow, typical_s, now)
@@ -124,7 +132,8 @@
         if self._policy.by_delay:
             rested = [host for host in usable if now >= host.avoid_until]
             return self._estimator.choose(rested or usable, flow, typical_s, now)
-        host = choose_host(usable, self._data_centre, (), (), now) or usable[0]
+        host = choose_host(usable, self._data_centre, (), (), now, flow.key)
+        host = host or usable[0]
         fallback_s = DEFAULT_SERVICE_S if typical_s is None else typical_s
         service_s = host.service_times.get(flow.route_tag, fallback_s)
         return host, self._estimator.estimate(host, service_s, now)
--- a/src/balsamstream/flows/front.py
+++ b/src/balsamstream/flows/front.py
@@ -112,7 +112,7 @@
             data_centre=data_centre,
             node_port=node_port,
             now=now,
-            learns_round_trips=policy.by_delay or policy.by_deadline,
+            policy=policy,
         )
         self._chooser = HostChooser(policy, ip, data_centre)
         self._hints: Hints[Host] = Hints()
--- a/tests/flows/deployment.py
+++ b/tests/flows/deployment.py
@@ -6,7 +6,7 @@
 import socket
 from collections import defaultdict, deque
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from balsamstream.flows.desired_state import (
     DesiredState,
@@ -15,21 +15,20 @@
     ServiceRules,
     Share,
 )
-from balsamstream.flows.front import DEFAULT_POLICY, Front
+from balsamstream.flows.front import Front
 from balsamstream.flows.gate import Gate
 from balsamstream.flows.heartbeat import Heartbeat, HostState
+from balsamstream.flows.load_policy import LoadPolicy
 from balsamstream.flows.messages import Kind, NodeName
 from balsamstream.platform import packets
 from standins.flow_host import ACK, FIN, SYN, FlowHost, Packet, decode
 
-if TYPE_CHECKING:
-    from balsamstream.flows.load_policy import LoadPolicy
-
 NODE_PORT = 7720
 ROUTE = ("198.18.0.1", 443)
 SERVICE = "comptoir"
 HEARTBEAT_S = 1.0
 STEP_S = 0.01
+DEFAULT_POLICY = LoadPolicy()
 
 
 class RecordedEvents:
@@ -84,6 +83,7 @@
     sends_heartbeats: bool = True
     has_host: bool = True
     is_up: bool = True
+    policy: LoadPolicy | None = None
 
     def __post_init__(self) -> None:
         self.start()
@@ -99,6 +99,7 @@
             incarnation=self.gate_incarnation,
             heartbeat_s=HEARTBEAT_S,
             now=self.deployment.now,
+            policy=self.deployment.policy if self.policy is None else self.policy,
         )
 
     def restart(self) -> None:
@@ -215,6 +216,8 @@
         Sizes of the control and load messages that each node has sent, in bytes.
     loss : float
         Share of the messages between nodes that are lost, 0 to 1.
+    policy : LoadPolicy
+        Decisions under load that all nodes make.
     front_policy : LoadPolicy
         Decisions under load that are switched on at the fronts.
     """
@@ -223,10 +226,12 @@
         self,
         route: tuple[str, int] = ROUTE,
         loss: float = 0.0,
-        front_policy: LoadPolicy = DEFAULT_POLICY,
+        policy: LoadPolicy = DEFAULT_POLICY,
+        front_policy: LoadPolicy | None = None,
     ) -> None:
-        self.front_policy = front_policy
+        self.front_policy = policy if front_policy is None else front_policy
         self.now = 100.0
+        self.policy = policy
         self.gates: dict[str, GateNode] = {}
         self.fronts: dict[str, FrontNode] = {}
         self.to_callers: list[tuple[Packet, str]] = []
