Add bursts, a greedy caller and slow, failing and flapping hosts to the soak

Cause: the soak only injected failures of nodes, hosts and the store, so decisions under load were never tested against its guarantees. Change: five load faults, drawn apart from the others, so that the plans of regression seeds stay as they are; load settings drawn by seed. A failing host answers with a failure that names its request, and the check of answers expects exactly that one.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,18 +7,30 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from standins.flow_site import ROUTE, WORK_S
+
+from .callers import LABELS_ROUTE
 from .proxy import ProxyMode
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Sequence
 
     from standins.flow_site import VM, FlowSite
 
+    from .callers import RequestSender
     from .guarantees import FaultRecord
     from .proxy import Proxy
 
 STOP_TIMEOUT_S: Final = 7.0
 DEREGISTER_DELAY_S: Final = 3.2
+BURST_CALLERS: Final = 4
+BURST_STREAMS: Final = 40
+"""Requests at once in a burst, more than the gates of a route dispatch."""
+GREEDY_STREAMS: Final = 10
+SLOW_FACTOR: Final = 20.0
+FAILURE_S: Final = 0.001
+FLAP_DOWN_S: Final = 0.3
+FLAP_UP_S: Final = 0.6
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,7 +42,7 @@
     at_s : float
         Start, in seconds after the start of the load.
     kind : str
-        Key of the function in `FAULTS` that injects it.
+        Key of the function in `FAULTS` or `LOAD_FAULTS` that injects it.
     pick : float
         Random number, 0 to 1, that selects the target.
     duration_s : float
@@ -43,10 +55,15 @@
     duration_s: float
 
 
-def draw_plan(seed: int, length_s: float, count: int) -> list[Fault]:
-    """Draw the faults of a seed, which may overlap and occur in series."""
+def draw_plan(
+    seed: int | str, length_s: float, count: int, kinds: Sequence[str] = ()
+) -> list[Fault]:
+    """Draw the faults of a seed, which may overlap and occur in series.
+
+    The kinds are those of `FAULTS` unless others are given.
+    """
     source = random.Random(seed)
-    kinds = sorted(FAULTS)
+    kinds = kinds or sorted(FAULTS)
     plan = []
     for _ in range(count):
         kind = source.choice(kinds)
@@ -69,19 +86,26 @@
         Record of the injected faults, used by the checks.
     proxies : dict of str to Proxy
         Proxy between each node and the store, by name of the node.
+    sender : RequestSender
+        Sends the requests of additional callers.
     """
 
     def __init__(
-        self, site: FlowSite, record: FaultRecord, proxies: dict[str, Proxy]
+        self,
+        site: FlowSite,
+        record: FaultRecord,
+        proxies: dict[str, Proxy],
+        sender: RequestSender,
     ) -> None:
         self._site = site
         self._record = record
         self._proxies = proxies
+        self._sender = sender
         self._busy: set[str] = set()
 
     async def inject(self, fault: Fault) -> None:
         """Inject a fault and end it."""
-        await FAULTS[fault.kind](self, fault)
+        await (FAULTS | LOAD_FAULTS)[fault.kind](self, fault)
 
     def _choose_vm(self, fault: Fault, role: str) -> VM | None:
         vms = [
@@ -232,6 +256,64 @@
         if vm is not None:
             self._site.processes.hang_up(vm.name)
 
+    async def send_burst(self, fault: Fault) -> None:
+        """Send a burst of one kind of request, from several callers."""
+        route = (ROUTE, LABELS_ROUTE)[fault.pick > 0.5]
+        groups = [await self._site.add_caller_group() for _ in range(BURST_CALLERS)]
+        streams = BURST_STREAMS // BURST_CALLERS
+        await asyncio.gather(
+            *(
+                self._sender.run_without_pauses(
+                    callers, route, streams, fault.duration_s
+                )
+                for callers in groups
+            )
+        )
+
+    async def add_greedy_caller(self, fault: Fault) -> None:
+        """Let one caller send several times as much as all others."""
+        callers = await self._site.add_caller_group()
+        route = (ROUTE, LABELS_ROUTE)[fault.pick > 0.5]
+        await self._sender.run_without_pauses(
+            callers, route, GREEDY_STREAMS, fault.duration_s
+        )
+
+    async def slow_host(self, fault: Fault) -> None:
+        """Make a host much slower for a time."""
+        vm = self._choose_vm(fault, "gate")
+        if vm is None or vm.host is None:
+            return
+        host = vm.host
+        host.work_s = SLOW_FACTOR * WORK_S
+        await asyncio.sleep(fault.duration_s)
+        host.work_s = WORK_S
+
+    async def fail_requests(self, fault: Fault) -> None:
+        """Make a host that reports that it is ready fail its requests quickly."""
+        vm = self._choose_vm(fault, "gate")
+        if vm is None or vm.host is None:
+            return
+        host = vm.host
+        host.flows.fails = True
+        host.work_s = FAILURE_S
+        await asyncio.sleep(fault.duration_s)
+        host.flows.fails = False
+        host.work_s = WORK_S
+
+    async def flap_host(self, fault: Fault) -> None:
+        """Stop a host without deregistering and start it, again and again."""
+        vm = self._choose_vm(fault, "gate")
+        if vm is None or vm.host is None:
+            return
+        self._busy.add(vm.name)
+        end = self._now() + fault.duration_s
+        while self._now() < end and vm.host is not None:
+            await vm.host.close()
+            await asyncio.sleep(FLAP_DOWN_S)
+            await self._site.start_host(vm)
+            await asyncio.sleep(FLAP_UP_S)
+        self._busy.discard(vm.name)
+
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
@@ -251,5 +333,14 @@
     "change_routes": FaultInjector.change_routes,
     "change_settings": FaultInjector.change_settings,
 }
+LOAD_FAULTS: Final[dict[str, Callable[[FaultInjector, Fault], Awaitable[None]]]] = {
+    "send_burst": FaultInjector.send_burst,
+    "add_greedy_caller": FaultInjector.add_greedy_caller,
+    "slow_host": FaultInjector.slow_host,
+    "fail_requests": FaultInjector.fail_requests,
+    "flap_host": FaultInjector.flap_host,
+}
+"""Faults in the load and in how hosts serve it. They are drawn apart from `FAULTS`, so
+that the plans of regression seeds stay as they are."""
 
-__all__ = ["FAULTS", "Fault", "FaultInjector", "draw_plan"]
+__all__ = ["FAULTS", "LOAD_FAULTS", "Fault", "FaultInjector", "draw_plan"]
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,18 +16,20 @@
 import tempfile
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
-from standins.flow_site import ROUTE, CallerGroup, FlowSite, RequestOutcome, SocketHost
+from standins.flow_host import build_failure
+from standins.flow_site import FlowSite, SocketHost
 
-from .faults import Fault, FaultInjector, draw_plan
+from .callers import LABELS_ROUTE, RequestSender
+from .faults import LOAD_FAULTS, Fault, FaultInjector, draw_plan
 from .guarantees import FaultRecord, check_host, check_outcome
 from .proxy import Proxy
 
 DURATION_S: Final = 10.0
 FAULTS_PER_SEED: Final = 6
+LOAD_FAULTS_PER_SEED: Final = 2
 CALLERS: Final = 12
-LABELS_ROUTE: Final = ("198.18.0.2", 443)
 RECOVERY_TIMEOUT_S: Final = 6.0
 """Every front must serve requests again within this time of the last fault."""
 PROBE_MISSES: Final = 2
@@ -44,6 +46,8 @@
         The seed.
     requests, answered : int
         Requests sent, and requests answered.
+    failed : int
+        Requests that failing hosts have run and answered with a failure.
     violations : list of str
         Violations of guarantees.
     """
@@ -51,6 +55,7 @@
     seed: int
     requests: int = 0
     answered: int = 0
+    failed: int = 0
     violations: list[str] = field(default_factory=list)
 
 
@@ -76,11 +81,39 @@
             await asyncio.sleep(PROBE_S)
 
 
-async def run_seed(seed: int, directory: Path, network: int) -> SeedResult:
-    """Run a seed."""
+def draw_faults(seed: int) -> list[Fault]:
+    """Draw the faults of a seed; the load faults do not change the others."""
+    plan = draw_plan(seed, DURATION_S, FAULTS_PER_SEED)
+    kinds = sorted(LOAD_FAULTS)
+    plan += draw_plan(f"load-{seed}", DURATION_S, LOAD_FAULTS_PER_SEED, kinds)
+    return sorted(plan, key=lambda fault: fault.at_s)
+
+
+def draw_load_settings(seed: int) -> dict[str, Any]:
+    """Draw the settings of a seed for decisions under load, each on or off."""
+    source = random.Random(f"settings-{seed}")
+    return {
+        "admission": source.choice(("fixed", "deadline")),
+        "placement": source.choice(("queue", "delay")),
+        "outliers": source.choice((False, True)),
+    }
+
+
+async def run_seed(
+    seed: int,
+    directory: Path,
+    network: int,
+    plan: list[Fault] | None = None,
+    load_settings: dict[str, Any] | None = None,
+) -> SeedResult:
+    """Run a seed, with other faults and load settings than its own if given."""
     result = SeedResult(seed)
     record = FaultRecord()
-    site = FlowSite(directory, network)
+    if plan is None:
+        plan = draw_faults(seed)
+    if load_settings is None:
+        load_settings = draw_load_settings(seed)
+    site = FlowSite(directory, network, load_settings=load_settings)
     site.routes |= {LABELS_ROUTE: "etiquettes"}
     await site.start()
     proxies: dict[str, Proxy] = {}
@@ -91,18 +124,17 @@
     try:
         await _add_nodes(site)
         routers = Routers(site)
-        outcomes: list[tuple[RequestOutcome, bytes]] = []
+        sender = RequestSender(routers)
         tasks.append(asyncio.create_task(routers.run()))
         for number in range(CALLERS):
-            callers = site.caller_groups[0]
-            work = _send_requests(callers, routers, outcomes, seed * 1_000 + number)
+            work = sender.run(site.caller_groups[0], seed * 1_000 + number)
             tasks.append(asyncio.create_task(work))
-        await _inject_faults(seed, FaultInjector(site, record, proxies))
+        await _inject_faults(plan, FaultInjector(site, record, proxies, sender))
         await _check_recovery(site, routers, result)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        _check_guarantees(site, record, outcomes, result)
+        _check_guarantees(site, record, sender, result)
     finally:
         for task in tasks:
             task.cancel()
@@ -132,27 +164,7 @@
     await site.wait_ready()
 
 
-async def _send_requests(
-    callers: CallerGroup,
-    routers: Routers,
-    outcomes: list[tuple[RequestOutcome, bytes]],
-    seed: int,
-) -> None:
-    source = random.Random(seed)
-    number = 0
-    while True:
-        number += 1
-        data = f"{seed}-{number}".encode()
-        route = source.choice((ROUTE, ROUTE, LABELS_ROUTE))
-        hold_s = source.choice((0.0, 0.0, 0.5, 2.0))
-        outcome = await callers.request(
-            routers, route=route, data=data, hold_s=hold_s, deadline_s=hold_s + 3.0
-        )
-        outcomes.append((outcome, b"answer " + data))
-        await asyncio.sleep(source.uniform(0.0, 0.05))
-
-
-async def _inject_faults(seed: int, injector: FaultInjector) -> None:
+async def _inject_faults(plan: list[Fault], injector: FaultInjector) -> None:
     started_at = asyncio.get_running_loop().time()
 
     async def inject_later(fault: Fault) -> None:
@@ -161,7 +173,6 @@
         )
         await injector.inject(fault)
 
-    plan = draw_plan(seed, DURATION_S, FAULTS_PER_SEED)
     await asyncio.gather(*(inject_later(fault) for fault in plan))
 
 
@@ -183,10 +194,15 @@
 def _check_guarantees(
     site: FlowSite,
     record: FaultRecord,
-    outcomes: list[tuple[RequestOutcome, bytes]],
+    sender: RequestSender,
     result: SeedResult,
 ) -> None:
+    outcomes = sender.outcomes
+    failed: set[bytes] = set()
+    for host in site.host_runs:
+        failed |= host.flows.failed_requests
     result.requests = len(outcomes)
+    result.failed = sum(data in failed for _, data in outcomes)
     result.answered = sum(1 for outcome, _ in outcomes if outcome.answer)
     runs: dict[bytes, int] = {}
     current_hosts: dict[int, SocketHost] = {
@@ -199,7 +215,8 @@
     result.violations += [
         f"ONCE: {data!r} ran {n}x" for data, n in runs.items() if n > 1
     ]
-    for outcome, expected in outcomes:
+    for outcome, data in outcomes:
+        expected = build_failure(data) if data in failed else b"answer " + data
         host = current_hosts.get(outcome.host_number)
         result.violations += check_outcome(outcome, expected, host, record)
     result.violations += site.faults
@@ -230,6 +247,7 @@
             shutil.rmtree(directory)
             print(
                 f"seed {seed}: {result.answered} of {result.requests} answered, "
+                f"{result.failed} failed by hosts, "
                 f"{len(result.violations)} violations",
                 flush=True,
             )
--- a/standins/flow_host.py
+++ b/standins/flow_host.py
@@ -20,6 +20,8 @@
 
 _HEAD: Final = struct.Struct(">IIIHIHIIHB")
 TEST_CHECKSUM: Final = 0x5EA1
+NAMED_BYTES: Final = 16
+"""Bytes of a request that the answer to a failed one repeats."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +78,7 @@
 class _FlowState:
     number: int
     is_ended: bool = False
-    answered: set[bytes] = field(default_factory=set)
+    answers: dict[bytes, bytes] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -93,10 +95,14 @@
         Whether it sends any packets.
     withholds_answers : bool
         Whether it never answers requests.
+    fails : bool
+        Whether it answers each new request with a short failure.
     received : list of Packet
         All packets received.
     run_requests : list of bytes
         The requests run, in order.
+    failed_requests : set of bytes
+        The requests run that were answered with a failure.
     faults : list of str
         Descriptions of invalid packets received.
     """
@@ -105,8 +111,10 @@
     accepts: bool = True
     answers: bool = True
     withholds_answers: bool = False
+    fails: bool = False
     received: list[Packet] = field(default_factory=list)
     run_requests: list[bytes] = field(default_factory=list)
+    failed_requests: set[bytes] = field(default_factory=set)
     faults: list[str] = field(default_factory=list)
     _flows: dict[tuple[tuple[int, int], tuple[int, int]], _FlowState] = field(
         default_factory=dict
@@ -158,21 +166,42 @@
             return [self._reply(packet, FIN | ACK, held.number + 1, packet.seq + 1)]
         if not packet.data or self.withholds_answers:
             return []
-        if packet.data not in held.answered:
-            held.answered.add(packet.data)
-            self.run_requests.append(packet.data)
+        if packet.data not in held.answers:
+            held.answers[packet.data] = self._run(packet.data)
         ack = packet.seq + len(packet.data)
-        answer = b"answer " + packet.data
+        answer = held.answers[packet.data]
         return [self._reply(packet, ACK, held.number + 1, ack, answer)]
 
+    def _run(self, request: bytes) -> bytes:
+        self.run_requests.append(request)
+        if not self.fails:
+            return b"answer " + request
+        self.failed_requests.add(request)
+        return build_failure(request)
+
     def _reply(
         self, packet: Packet, flags: int, seq: int, ack: int, data: bytes = b""
     ) -> bytes:
         return Packet(packet.target, packet.source, flags, seq, ack, data).encode()
 
 
+def build_failure(request: bytes) -> bytes:
+    """Build the answer to a request that has failed."""
+    return b"failed " + request[:NAMED_BYTES]
+
+
 def _bounce(body: bytes) -> bytes:
     return body[:30] + bytes((body[30] | BOUNCED,)) + body[31:]
 
 
-__all__ = ["ACK", "BOUNCED", "FIN", "RST", "SYN", "FlowHost", "Packet", "decode"]
+__all__ = [
+    "ACK",
+    "BOUNCED",
+    "FIN",
+    "RST",
+    "SYN",
+    "FlowHost",
+    "Packet",
+    "build_failure",
+    "decode",
+]
--- a/standins/flow_site.py
+++ b/standins/flow_site.py
@@ -34,6 +34,7 @@
 SYN_COPIES_S: Final = (0.2, 0.4, 0.8)
 READY_TIMEOUT_S: Final = 15.0
 CLOSE_DELAY_S: Final = 0.02
+WORK_S: Final = 0.01
 
 
 @dataclass(slots=True)
@@ -102,7 +103,7 @@
         self.drained_at = 0.0
         self.flows = FlowHost(number)
         self.state = "ready"
-        self.work_s = 0.01
+        self.work_s = WORK_S
         self.acknowledged_at = 0.0
         self.started_ms = int(time.time() * 1_000)
         self.id = f"i-{vm.name}-{self.started_ms}"
@@ -418,6 +419,8 @@
         All host instances, including those that have ended.
     faults : list of str
         Failures that neither callers nor hosts can observe.
+    load_settings : dict
+        Settings of all nodes for decisions under load, as in `LoadSettings`.
     """
 
     directory: Path
@@ -434,6 +437,7 @@
     start_store_proxy: Callable[..., Awaitable[None]] | None = None
     host_runs: list[SocketHost] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
+    load_settings: dict[str, Any] = field(default_factory=dict)
     _runner: web.AppRunner | None = None
     _numbers: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
     _version: int = 0
@@ -603,6 +607,7 @@
             "readiness": f"{vm.ip}:{ports.readiness}",
             "store": f"{self._get_store_ip(vm)}:{ports.store}",
             "seeds": seeds,
+            "load": self.load_settings,
         }
         if vm.role == "gate":
             settings["host"] = {
@@ -617,6 +622,7 @@
 
 __all__ = [
     "ROUTE",
+    "WORK_S",
     "CallerGroup",
     "FlowSite",
     "VM",
