--- a/bench/overload_caller.py
+++ b/bench/overload_caller.py
@@ -147,4 +147,4 @@
         request.finish(took_s if data == ANSWER else None)
 
 
-__all__ = ["ANSWER", "FAILED", "SHED", "Caller"]
+__all__ = ["ANSWER", "FAILED", "SHED", "Caller", "Flow"]
--- a/tests/bench/test_overload.py
+++ b/tests/bench/test_overload.py
@@ -6,6 +6,7 @@
 
 from balsamstream.flows.load_policy import LoadPolicy
 from bench.overload import POLICIES, replay
+from bench.overload_caller import Caller, Flow
 from bench.overload_load import LOADS, Load, fail_one, flap_hosts, reset_all
 from bench.overload_site import Site
 
@@ -74,6 +75,21 @@
     assert figures["run_twice"] == 0
 
 
+def test_request_that_runs_at_two_hosts_is_counted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a count of double runs that is always 0."""
+
+    def repeat(caller: Caller, flow: Flow) -> None:
+        del caller._flows[flow.port]
+        if flow.request is not None:
+            caller._attempt(flow.request)
+
+    monkeypatch.setattr(Caller, "_handle_reset", repeat)
+    load = Load("tiny", 0.4, **SMALL, disturb=reset_all)
+    assert replay(load, LoadPolicy(), 1)["run_twice"] > 0
+
+
 def test_hosts_that_flap_lose_requests_and_repeat_none() -> None:
     """Guards against a restarted host that runs what its earlier run has begun."""
     figures = replay(Load("tiny", 0.5, **SMALL, disturb=flap_hosts), LoadPolicy(), 1)
