Learn service times and the work ahead at a gate

Cause: a gate counts requests in flight but does not know how long they take, so it cannot tell whether an opening that waits can still be served before its deadline.

Change: the gate learns the service time of each route from answers (the last 32 samples, at most 10 s old, at most 16 routes), counts the requests in flight by route and the arrivals on open flows, and derives the expected wait. Nothing uses it yet.

--- a/src/balsamstream/flows/events.py
+++ b/src/balsamstream/flows/events.py
@@ -23,6 +23,12 @@
     def observe_waiting(self, seconds: float) -> None:
         """Record the time that an opening packet has waited for a slot."""
 
+    def observe_service(self, seconds: float) -> None:
+        """Record the time that a host has worked on a request, without the wait."""
+
+    def observe_expected_wait(self, seconds: float) -> None:
+        """Record the reported time until a host begins one more request."""
+
     def observe_answer(self, seconds: float) -> None:
         """Record the time from a request to the first packet of its answer."""
 
--- a/src/balsamstream/flows/flow_table.py
+++ b/src/balsamstream/flows/flow_table.py
@@ -8,6 +8,8 @@
 
 from balsamstream.platform import packets
 
+from .host_work import HostWork, RouteWork
+
 if TYPE_CHECKING:
     from .events import Events
 
@@ -46,6 +48,8 @@
         Address of the front that sent the caller's last packet.
     last_packet_at : float
         Time of the last packet, in seconds.
+    route : RouteWork
+        Requests of the flow's route.
     initial_seq : int or None
         Sequence number of the opening packet, or None if the flow is older than this
         gate's process.
@@ -60,16 +64,20 @@
         counts as a request.
     ended_by : int
         Flags of the sides that have ended the flow.
+    request_at : float
+        Time of the last byte of the caller's latest request, in seconds; 0 for none.
     """
 
     front: str
     last_packet_at: float
+    route: RouteWork
     initial_seq: int | None = None
     caller_next_seq: int | None = None
     host_next_seq: int | None = None
     is_confirmed: bool = False
     pending_since: float = 0.0
     ended_by: int = 0
+    request_at: float = 0.0
 
     def is_opened_by(self, packet: bytes) -> bool:
         """Return whether an opening packet is a copy of the one that opened the flow.
@@ -131,6 +139,8 @@
         Requests and opening packets that the host has not begun to answer.
     is_load_changed : bool
         Whether the load has changed since it was last reported.
+    work : HostWork
+        Requests in flight by route, and the learned service times.
     """
 
     def __init__(self, events: Events) -> None:
@@ -139,6 +149,7 @@
         self._unconfirmed: deque[tuple[float, Flow]] = deque()
         self.in_flight = 0
         self.is_load_changed = False
+        self.work = HostWork()
 
     def __len__(self) -> int:
         return len(self._flows)
@@ -155,7 +166,9 @@
     def open(self, flow: bytes, packet: bytes, front: str, now: float) -> None:
         """Add a flow whose opening packet is dispatched to the host."""
         initial_seq = packets.get_seq(packet)
-        self._flows[flow] = Flow(front, now, initial_seq, pending_since=now)
+        route = self.work.get_route(flow)
+        route.in_flight += 1
+        self._flows[flow] = Flow(front, now, route, initial_seq, pending_since=now)
         self.in_flight += 1
         self.is_load_changed = True
 
@@ -164,7 +177,8 @@
 
         A full table returns the state without storing it.
         """
-        entry = Flow("", now, is_confirmed=True)
+        route = self.work.get_route(flow)
+        entry = Flow("", now, route, is_confirmed=True)
         if len(self._flows) < MAX_FLOWS:
             self._flows[flow] = entry
         return entry
@@ -179,6 +193,7 @@
         """Remove all flows, as the host has restarted."""
         self._flows.clear()
         self._unconfirmed.clear()
+        self.work.clear()
         self.in_flight = 0
         self.is_load_changed = True
 
@@ -197,8 +212,11 @@
             self._record_caller_end(entry, flags)
         if not packets.get_data_bytes(packet) or not entry.advance_caller_seq(packet):
             return
+        entry.request_at = now
         if not entry.pending_since:
             entry.pending_since = now
+            entry.route.in_flight += 1
+            entry.route.arrivals += 1
             self.in_flight += 1
             self.is_load_changed = True
 
@@ -218,15 +236,26 @@
             entry.ended_by = BOTH_ENDED
         elif flags & packets.FIN:
             entry.ended_by |= HOST_ENDED
+        data_bytes = packets.get_data_bytes(packet)
         is_answer = flags & (packets.RST | packets.FIN) or (
-            packets.get_data_bytes(packet) and not flags & packets.SYN
+            data_bytes and not flags & packets.SYN
         )
         if not is_answer or not entry.pending_since:
             return False
         self._events.observe_answer(now - entry.pending_since)
+        self._learn_service(entry, data_bytes, now)
         self._end_request(entry)
         return True
 
+    def _learn_service(self, entry: Flow, data_bytes: int, now: float) -> None:
+        times = self.work.times
+        if not data_bytes or not entry.request_at:
+            times.record_failure(now)
+            return
+        service_s = times.record_answer(entry.route.key, entry.request_at, now)
+        if service_s is not None:
+            self._events.observe_service(service_s)
+
     def expire_unconfirmed(self, now: float) -> None:
         """End the openings that their callers have not confirmed in time."""
         unconfirmed = self._unconfirmed
@@ -250,6 +279,7 @@
         if not entry.pending_since:
             return
         entry.pending_since = 0.0
+        entry.route.in_flight -= 1
         self.in_flight -= 1
         self.is_load_changed = True
 
--- a/src/balsamstream/node/events.py
+++ b/src/balsamstream/node/events.py
@@ -57,6 +57,14 @@
         """Observe the time that an opening packet waited for a slot."""
         self._metrics.observe("waiting_seconds", seconds)
 
+    def observe_service(self, seconds: float) -> None:
+        """Observe the time that a host worked on a request, without the wait."""
+        self._metrics.observe("service_seconds", seconds)
+
+    def observe_expected_wait(self, seconds: float) -> None:
+        """Observe the reported time until a host begins one more request."""
+        self._metrics.observe("expected_wait_seconds", seconds)
+
     def observe_answer(self, seconds: float) -> None:
         """Observe the time from a request to the first packet of its answer."""
         self._metrics.observe("answer_seconds", seconds)
--- a/tests/flows/deployment.py
+++ b/tests/flows/deployment.py
@@ -18,6 +18,7 @@
 from balsamstream.flows.front import Front
 from balsamstream.flows.gate import Gate
 from balsamstream.flows.heartbeat import Heartbeat, HostState
+from balsamstream.flows.load_policy import LoadPolicy
 from balsamstream.flows.messages import Kind, NodeName
 from balsamstream.platform import packets
 from standins.flow_host import ACK, FIN, SYN, FlowHost, Packet, decode
@@ -53,6 +54,12 @@
     def observe_waiting(self, seconds: float) -> None:
         """Ignore the time."""
 
+    def observe_service(self, seconds: float) -> None:
+        """Ignore the time."""
+
+    def observe_expected_wait(self, seconds: float) -> None:
+        """Ignore the time."""
+
     def observe_answer(self, seconds: float) -> None:
         """Ignore the time."""
 
@@ -81,6 +88,7 @@
     sends_heartbeats: bool = True
     has_host: bool = True
     is_up: bool = True
+    policy: LoadPolicy = field(default_factory=LoadPolicy)
 
     def __post_init__(self) -> None:
         self.start()
@@ -95,6 +103,7 @@
             data_centre=self.data_centre,
             incarnation=self.gate_incarnation,
             heartbeat_s=HEARTBEAT_S,
+            policy=self.policy,
             now=self.deployment.now,
         )
 
