Admit opening packets by deadline with fair shares

Cause: a gate lets an opening wait for 0.4 s whatever its deadline, newest first. Second attempts that are late displace new requests, a burst of one route delays the others, one caller can take most of the service, and a caller whose deadline is seconds away is refused three times within 1.2 s.

Change: with load.admission "deadline", start-time fair queuing between routes, equal shares for the data centres of the fronts, callers with the least recent service first, then the newest that can meet the objective. An opening whose turn cannot come before its deadline is declined at once. Declines of timed openings state the time left. The expected wait goes into reports and timed loads whatever the policy. The fixed policy decides as before.

--- a/src/balsamstream/flows/dispatch.py
+++ b/src/balsamstream/flows/dispatch.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from .messages import DeclineReason
-from .waiting_queue import Opening, WaitingQueue, has_capacity
+from .waiting_queue import Opening, OpeningQueue, has_capacity
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,6 +31,8 @@
         Flows of the host.
     host : HostRecord
         Last heartbeat of the host.
+    waiting : OpeningQueue
+        Queue of the openings that wait.
     send : callable
         Sends a front's packet to the host.
     decline : callable
@@ -41,16 +44,17 @@
         events: Events,
         flows: FlowTable,
         host: HostRecord,
+        waiting: OpeningQueue,
         send: Callable[[bytes, str], None],
-        decline: Callable[[bytes, str, DeclineReason, float], None],
+        decline: Callable[[Opening, DeclineReason, float], None],
     ) -> None:
         self._events = events
         self._flows = flows
         self._host = host
         self._send = send
         self._decline = decline
-        self._waiting = WaitingQueue()
-        self._dispatched: deque[tuple[float, bytes, bytes]] = deque()
+        self._waiting = waiting
+        self._dispatched: deque[tuple[float, Opening]] = deque()
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -64,9 +68,29 @@
         """Return whether a flow's opening packet is in the queue."""
         return flow in self._waiting
 
+    def find_dispatched(self, flow: bytes) -> Opening | None:
+        """Return a flow's opening if it was dispatched within `SYN_TIMEOUT_S`."""
+        for _, opening in reversed(self._dispatched):
+            if opening.flow == flow:
+                return opening
+        return None
+
+    def compute_wait_s(self, now: float) -> float | None:
+        """Return the expected time until the host begins one more request, if known."""
+        return self._flows.work.compute_wait_s(self._waiting.count_routes(), now)
+
+    def get_service_s(self, flow: bytes, now: float) -> float | None:
+        """Return the learned median service time of a flow's route, if known."""
+        median_s = self._flows.work.times.get_median_s(flow[2:8], now)
+        return None if median_s is None else round(median_s, 4)
+
     def submit(self, opening: Opening, now: float) -> None:
         """Dispatch an opening packet now, or queue it until the host has capacity."""
+        if not self._waiting.can_accept(opening, now):
+            self._decline(opening, DeclineReason.BUSY, now)
+            return
         if not self._waiting and has_capacity(self._flows.in_flight, self._host.slots):
+            self._waiting.record_dispatch(opening, now)
             self._dispatch(opening, now)
             return
         self._events.emit_for_flow(
@@ -75,17 +99,20 @@
             priority=opening.priority,
             in_flight=self._flows.in_flight,
             waiting=len(self._waiting),
+            service_s=self.get_service_s(opening.flow, now),
         )
         displaced = self._waiting.add(opening)
         if displaced is not None:
-            self._decline(displaced.packet, displaced.front, DeclineReason.BUSY, now)
+            self._decline(displaced, DeclineReason.BUSY, now)
         self._flows.is_load_changed = True
         self.dispatch_waiting(now)
+        if self._waiting.is_plan_due(now):
+            self._decline_hopeless(now)
 
     def dispatch_waiting(self, now: float) -> None:
         """Dispatch as many waiting packets as the host has capacity for."""
         while self._waiting and has_capacity(self._flows.in_flight, self._host.slots):
-            opening = self._waiting.pop()
+            opening = self._waiting.pop(now)
             if opening is None:
                 return
             self._events.observe_waiting(now - opening.arrived_at)
@@ -94,22 +121,31 @@
     def decline_waiting(self, reason: DeclineReason, now: float) -> None:
         """Decline all waiting packets, as the host accepts no new flows."""
         for opening in self._waiting.drain():
-            self._decline(opening.packet, opening.front, reason, now)
+            self._decline(opening, reason, now)
 
     def clear(self) -> None:
         """Discard what was dispatched to an earlier incarnation of the host."""
         self._dispatched.clear()
+        self._waiting.clear_order()
 
     def tick(self, now: float) -> None:
         """Decline packets that timed out, and dispatch what there is capacity for."""
         self._expire_unanswered(now)
         for opening in self._waiting.pop_expired(now):
-            self._decline(opening.packet, opening.front, DeclineReason.BUSY, now)
+            self._decline(opening, DeclineReason.BUSY, now)
         self.dispatch_waiting(now)
+        self._decline_hopeless(now)
+
+    def _decline_hopeless(self, now: float) -> None:
+        """Decline packets whose turn cannot come before their deadline."""
+        if not self._waiting:
+            return
+        for opening in self._waiting.pop_hopeless(self._flows.work.forecast(now), now):
+            self._decline(opening, DeclineReason.BUSY, now)
 
     def _dispatch(self, opening: Opening, now: float) -> None:
         self._flows.open(opening.flow, opening.packet, opening.front, now)
-        self._dispatched.append((now, opening.flow, opening.packet))
+        self._dispatched.append((now, opening))
         self._events.count("flows.offered")
         self._send(opening.packet, opening.front)
 
@@ -120,15 +156,16 @@
         """
         dispatched = self._dispatched
         while dispatched and now - dispatched[0][0] > SYN_TIMEOUT_S:
-            dispatched_at, flow, packet = dispatched.popleft()
-            entry = self._flows.get(flow)
+            dispatched_at, opening = dispatched.popleft()
+            entry = self._flows.get(opening.flow)
             if entry is None:
                 continue
             if entry.host_next_seq is not None:
                 self._flows.expect_confirmation(entry, dispatched_at)
                 continue
-            self._flows.remove(flow)
-            self._decline(packet, entry.front, DeclineReason.NO_ANSWER, now)
+            self._flows.remove(opening.flow)
+            opening = replace(opening, front=entry.front)
+            self._decline(opening, DeclineReason.NO_ANSWER, now)
 
 
 __all__ = ["OpeningDispatcher"]
--- /dev/null
+++ b/src/balsamstream/flows/fair_queue.py
@@ -0,0 +1,417 @@
+"""Queue of opening packets at a busy host: fair shares, bounded by deadlines.
+
+Load pattern: a burst of one kind of request, which must not delay the other routes; all
+callers returning to cold hosts; sustained load of 1.5 times the capacity, where a fixed
+bound of the wait refuses requests that still have time and serves others that are late;
+one caller that sends ten times as much as the others; fronts of an evacuated data
+centre beside local ones.
+
+Order: start-time fair queuing between routes, with the weight halved for each step of
+priority; equal shares for the data centres of the fronts within a route; then callers
+with the least recent service; then those that can still meet the objective, the newest
+first. An opening whose turn cannot come before its deadline is handed back at once.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final, TypeVar
+
+from .caller_record import CallerRecord, compute_level
+from .waiting_queue import MAX_WAITING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection, Iterable, Iterator
+
+    from .host_work import Forecast, HostWork
+    from .waiting_queue import Opening
+
+MAX_TIMED_WAIT_S: Final = 1.2
+"""A caller ends its attempt 1.4 s after its first packet."""
+UNTIMED_WAIT_S: Final = 0.4
+"""Objective and deadline of an opening whose front states none."""
+DEFAULT_WORK_S: Final = 0.025
+"""Work that a request counts as while no service time is known. Only the ratio to the
+other routes matters, and they count as the same then."""
+MAX_PRIORITY_STEPS: Final = 16
+"""Steps of priority beyond which the weight is no longer halved, so that virtual times
+keep their precision."""
+MAX_SHARES: Final = 64
+"""Idle routes, and idle data centres of a route, whose past service is remembered."""
+PLAN_INTERVAL_S: Final = 40e-6
+"""Minimum time between two forecasts on arrival, for each opening that waits. A burst
+of 512 openings then costs no more forecasts than the ticks do."""
+
+
+@dataclass(slots=True, eq=False)
+class Waiting:
+    """An opening that waits.
+
+    Attributes
+    ----------
+    opening : Opening
+        The opening.
+    route, caller : bytes
+        Address and port of the route; address of the caller.
+    expires_at : float
+        Time at which it is declined if it still waits, in seconds.
+    latest_start_at : float
+        Time after which the host need not begin the request, in seconds. It may be
+        later than `expires_at`: the caller's next attempt may then have its turn.
+    objective_at : float
+        Time at which the objective is over, in seconds.
+    """
+
+    opening: Opening
+    route: bytes
+    caller: bytes
+    expires_at: float
+    latest_start_at: float
+    objective_at: float
+
+
+@dataclass(slots=True, eq=False)
+class Share:
+    """One party to start-time fair queuing.
+
+    Attributes
+    ----------
+    weight : float
+        Share relative to the other parties.
+    finish : float
+        Virtual time at which its last dispatched opening ends.
+    newest_at : float
+        Time of its last arrival, in seconds; decides between equal virtual times.
+    """
+
+    weight: float = 1.0
+    finish: float = 0.0
+    newest_at: float = 0.0
+
+    def charge(self, clock: float, work_s: float) -> float:
+        """Charge a dispatched opening; return its start, the new virtual time."""
+        start = max(clock, self.finish)
+        self.finish = start + work_s / self.weight
+        return start
+
+    def get_turn(self, clock: float) -> tuple[float, float, float]:
+        """Return when the next opening is due; the least goes first."""
+        return max(clock, self.finish), -self.weight, -self.newest_at
+
+
+@dataclass(slots=True, eq=False)
+class SiteShare(Share):
+    """Openings of one route from the fronts of one data centre."""
+
+    waiting: dict[bytes, Waiting] = field(default_factory=dict)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no opening waits."""
+        return not self.waiting
+
+
+@dataclass(slots=True, eq=False)
+class RouteShare(Share):
+    """Openings of one route, by the data centre of their fronts."""
+
+    clock: float = 0.0
+    sites: dict[str, SiteShare] = field(default_factory=dict)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no opening waits."""
+        return all(site.is_idle for site in self.sites.values())
+
+
+Key = TypeVar("Key", bytes, str)
+Party = TypeVar("Party", RouteShare, SiteShare)
+
+
+class FairQueue:
+    """Bounded queue of opening packets that wait for a slot of one host.
+
+    Parameters
+    ----------
+    work : HostWork
+        Learned service times of the host.
+    get_data_centre : callable
+        Returns the data centre of a front by its address.
+    """
+
+    def __init__(self, work: HostWork, get_data_centre: Callable[[str], str]) -> None:
+        self._times = work.times
+        self._get_data_centre = get_data_centre
+        self._callers = CallerRecord()
+        self._routes: dict[bytes, RouteShare] = {}
+        self._sites: dict[bytes, SiteShare] = {}
+        self._clock = 0.0
+        self._next_expiry_at = 0.0
+        self._plan_due = 0.0
+
+    def __len__(self) -> int:
+        return len(self._sites)
+
+    def __contains__(self, flow: bytes) -> bool:
+        return flow in self._sites
+
+    def can_accept(self, opening: Opening, now: float) -> bool:
+        """Return whether the deadline of an opening is not over yet."""
+        return now < opening.deadline_at
+
+    def count_routes(self) -> dict[bytes, int]:
+        """Return the number of openings that wait, by route."""
+        if not self._sites:
+            return {}
+        return {
+            key: sum(len(site.waiting) for site in route.sites.values())
+            for key, route in self._routes.items()
+        }
+
+    def add(self, opening: Opening) -> Opening | None:
+        """Add an opening packet; return one that it displaces, or None."""
+        self._remove(opening.flow)
+        displaced = self._displace() if len(self._sites) >= MAX_WAITING else None
+        item = self._build_item(opening)
+        if not self._sites or item.expires_at < self._next_expiry_at:
+            self._next_expiry_at = item.expires_at
+        route, site = self._find_shares(opening)
+        route.newest_at = site.newest_at = opening.arrived_at
+        site.waiting[opening.flow] = item
+        self._sites[opening.flow] = site
+        return displaced
+
+    def record_dispatch(self, opening: Opening, now: float) -> None:
+        """Charge an opening that is dispatched without having waited."""
+        route, site = self._find_shares(opening)
+        self._charge(route, site, opening, now)
+
+    def pop(self, now: float) -> Opening | None:
+        """Remove and return the opening packet that is to be dispatched next."""
+        if not self._sites:
+            return None
+        backlogged = [each for each in self._routes.values() if not each.is_idle]
+        route = min(backlogged, key=lambda each: each.get_turn(self._clock))
+        sites = [each for each in route.sites.values() if not each.is_idle]
+        site = min(sites, key=lambda each: each.get_turn(route.clock))
+        opening = self._choose(site.waiting.values(), now)
+        self._remove(opening.flow)
+        self._charge(route, site, opening, now)
+        return opening
+
+    def pop_expired(self, now: float) -> list[Opening]:
+        """Remove and return the openings that need no longer begin."""
+        if not self._sites or now <= self._next_expiry_at:
+            return []
+        items = list(self._iterate_items())
+        expired = [each.opening for each in items if each.expires_at < now]
+        for opening in expired:
+            self._remove(opening.flow)
+        left = (each.expires_at for each in items if each.expires_at >= now)
+        self._next_expiry_at = min(left, default=now)
+        return expired
+
+    def is_plan_due(self, now: float) -> bool:
+        """Return whether an arrival is a reason to forecast the turns again."""
+        return now >= self._plan_due
+
+    def pop_hopeless(self, forecast: Forecast | None, now: float) -> list[Opening]:
+        """Remove and return the openings whose turn cannot come before their deadline.
+
+        Parameters
+        ----------
+        forecast : Forecast or None
+            Expected progress of the host; None for unknown, which returns nothing.
+        now : float
+            Time, in seconds.
+        """
+        if forecast is None or not self._sites:
+            return []
+        self._plan_due = now + len(self._sites) * PLAN_INTERVAL_S
+        hopeless = []
+        work_s = 0.0
+        works_s: dict[bytes, float] = {}
+        for item in self.plan(now):
+            if now + forecast.compute_start_s(work_s) > item.latest_start_at:
+                hopeless.append(item.opening)
+                continue
+            if item.route not in works_s:
+                works_s[item.route] = self._get_work_s(item.route, now)
+            work_s += works_s[item.route]
+        for opening in hopeless:
+            self._remove(opening.flow)
+        return hopeless
+
+    def plan(self, now: float) -> Iterator[Waiting]:
+        """Yield the openings in the order in which they would be dispatched."""
+        turns = []
+        for key, route in self._routes.items():
+            if route.is_idle:
+                continue
+            work_s = self._get_work_s(key, now)
+            sites = []
+            for site in route.sites.values():
+                items = self._sort(site.waiting.values(), work_s, now)
+                sites.append((site, items))
+            ordered = _merge(sites, route.clock, work_s)
+            turns.append((route, ordered, work_s))
+        return iter(_merge_turns(turns, self._clock))
+
+    def drain(self) -> list[Opening]:
+        """Remove and return all packets, the oldest first."""
+        openings = [item.opening for item in self._iterate_items()]
+        self._sites.clear()
+        for route in self._routes.values():
+            for site in route.sites.values():
+                site.waiting.clear()
+        return openings
+
+    def clear_order(self) -> None:
+        """Discard the record of past service; what waits keeps waiting."""
+        openings = self.drain()
+        self._routes.clear()
+        self._callers.clear()
+        self._clock = 0.0
+        for opening in openings:
+            self.add(opening)
+
+    def _build_item(self, opening: Opening) -> Waiting:
+        now, flow = opening.arrived_at, opening.flow
+        route = flow[2:8]
+        # An OPEN states no times; its bound is one of the wait alone.
+        if opening.deadline_at == math.inf:
+            end_at = now + UNTIMED_WAIT_S
+            return Waiting(opening, route, flow[8:], end_at, end_at, end_at)
+        work_s = self._times.estimate_mean_s(route, now) or 0.0
+        latest_at = opening.deadline_at - work_s
+        end_at = min(now + MAX_TIMED_WAIT_S, latest_at)
+        return Waiting(
+            opening, route, flow[8:], end_at, latest_at, opening.objective_at
+        )
+
+    def _get_work_s(self, route: bytes, now: float) -> float:
+        # A time of zero would let a route take any share.
+        return self._times.estimate_mean_s(route, now) or DEFAULT_WORK_S
+
+    def _find_shares(self, opening: Opening) -> tuple[RouteShare, SiteShare]:
+        key = opening.flow[2:8]
+        route = self._routes.get(key)
+        if route is None:
+            _forget_idle(self._routes)
+            route = self._routes[key] = RouteShare()
+        route.weight = 0.5 ** min(opening.priority, MAX_PRIORITY_STEPS)
+        data_centre = self._get_data_centre(opening.front)
+        site = route.sites.get(data_centre)
+        if site is None:
+            _forget_idle(route.sites)
+            site = route.sites[data_centre] = SiteShare()
+        return route, site
+
+    def _charge(
+        self, route: RouteShare, site: SiteShare, opening: Opening, now: float
+    ) -> None:
+        work_s = self._get_work_s(opening.flow[2:8], now)
+        self._clock = route.charge(self._clock, work_s)
+        route.clock = site.charge(route.clock, work_s)
+        self._callers.add(opening.flow[8:], work_s, now)
+
+    def _choose(self, items: Collection[Waiting], now: float) -> Opening:
+        """Return the first opening in the order of one route and data centre."""
+        work_s = self._get_work_s(next(iter(items)).route, now)
+        levels: dict[bytes, int] = {}
+
+        def rank(item: Waiting) -> tuple[int, bool, float]:
+            level = levels.get(item.caller)
+            if level is None:
+                served_s = self._callers.get_served_s(item.caller, now)
+                level = levels[item.caller] = compute_level(served_s, work_s)
+            is_late = now + work_s > item.objective_at
+            return level, is_late, -item.opening.arrived_at
+
+        return min(items, key=rank).opening
+
+    def _sort(
+        self, items: Iterable[Waiting], work_s: float, now: float
+    ) -> list[Waiting]:
+        """Sort openings of one route and data centre into their order of dispatch.
+
+        Each opening counts as served for those of its caller that follow it.
+        """
+        served_s: dict[bytes, float] = {}
+        ranked = []
+        newest = sorted(
+            items,
+            key=lambda each: (
+                now + work_s > each.objective_at,
+                -each.opening.arrived_at,
+            ),
+        )
+        for item in newest:
+            total_s = served_s.get(item.caller)
+            if total_s is None:
+                total_s = self._callers.get_served_s(item.caller, now)
+            served_s[item.caller] = total_s + work_s
+            ranked.append((compute_level(total_s, work_s), item))
+        ranked.sort(key=lambda each: each[0])
+        return [item for _, item in ranked]
+
+    def _displace(self) -> Opening:
+        """Remove and return the last opening of the longest queue for its weight."""
+        sites = [
+            (len(site.waiting) / route.weight, route, site)
+            for route in self._routes.values()
+            for site in route.sites.values()
+        ]
+        _, _, longest = max(sites, key=lambda each: each[0])
+        items = list(longest.waiting.values())
+        now = items[-1].opening.arrived_at
+        work_s = self._get_work_s(items[0].route, now)
+        last = self._sort(items, work_s, now)[-1]
+        self._remove(last.opening.flow)
+        return last.opening
+
+    def _remove(self, flow: bytes) -> None:
+        site = self._sites.pop(flow, None)
+        if site is not None:
+            del site.waiting[flow]
+
+    def _iterate_items(self) -> Iterator[Waiting]:
+        """Yield the openings that wait, the oldest first."""
+        for flow, site in self._sites.items():
+            yield site.waiting[flow]
+
+
+def _merge(
+    queues: list[tuple[SiteShare, list[Waiting]]], clock: float, work_s: float
+) -> list[Waiting]:
+    """Merge the queues of a route's data centres into their order of dispatch."""
+    turns = [(site, items, work_s) for site, items in queues if items]
+    return _merge_turns(turns, clock)
+
+
+def _merge_turns(
+    queues: Iterable[tuple[Share, list[Waiting], float]], clock: float
+) -> list[Waiting]:
+    """Merge queues by the virtual times at which their openings start."""
+    turns: list[tuple[tuple[float, float, float], Waiting]] = []
+    for share, items, work_s in queues:
+        start, weight, newest_at = share.get_turn(clock)
+        step = work_s / share.weight
+        for item in items:
+            turns.append(((start, weight, newest_at), item))
+            start += step
+    turns.sort(key=lambda each: each[0])
+    return [item for _, item in turns]
+
+
+def _forget_idle(shares: dict[Key, Party]) -> None:
+    """Remove an idle party if there are too many; its past service is forgotten."""
+    if len(shares) < MAX_SHARES:
+        return
+    idle = next((key for key, share in shares.items() if share.is_idle), None)
+    if idle is not None:
+        del shares[idle]
+
+
+__all__ = ["MAX_TIMED_WAIT_S", "UNTIMED_WAIT_S", "FairQueue"]
--- a/src/balsamstream/flows/gate.py
+++ b/src/balsamstream/flows/gate.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import math
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final, Protocol
 
 from balsamstream.platform import packets
@@ -14,6 +16,7 @@
 from .admission import Admission
 from .dispatch import OpeningDispatcher
 from .echo_tags import EchoTags
+from .fair_queue import FairQueue
 from .flow_table import Flow, FlowTable
 from .heartbeat import HostState
 from .host_record import HeartbeatOutcome, HostRecord
@@ -21,11 +24,13 @@
 from .messages import (
     OPEN_HEADER,
     PROTOCOL,
+    TIMED_DECLINED_HEADER,
     TIMED_OPEN_HEADER,
     DeclineReason,
     Hello,
     Kind,
     Report,
+    clamp_ms,
     decode_control,
     decode_relayed_search,
     decode_search_request,
@@ -34,7 +39,7 @@
 from .older_flows import OlderFlows
 from .reporter import Reporter
 from .search_replies import SearchReplies
-from .waiting_queue import Opening
+from .waiting_queue import Opening, OpeningQueue, WaitingQueue
 
 if TYPE_CHECKING:
     from .events import Events
@@ -110,11 +115,17 @@
         self._echo_tags = EchoTags()
         self._admission = Admission(events, self._host, service, data_centre)
         self._dispatcher = OpeningDispatcher(
-            events, self._flows, self._host, self._send_to_host, self._decline
+            events,
+            self._flows,
+            self._host,
+            self._build_queue(),
+            self._send_to_host,
+            self._decline,
         )
         self._replies = SearchReplies(transport.send_to_node, events)
         self._older_flows = OlderFlows(self._host, self._replies, events, now)
         self._is_leaving = False
+        self._expected_wait_s = 0.0
         self.reporter = Reporter(
             transport.send_to_node,
             events,
@@ -127,6 +138,14 @@
         )
         self._expire_due = now + EXPIRE_INTERVAL_S
 
+    def _build_queue(self) -> OpeningQueue:
+        if self._policy.by_deadline:
+            return FairQueue(self._flows.work, self._get_data_centre)
+        return WaitingQueue()
+
+    def _get_data_centre(self, front: str) -> str:
+        return self.reporter.get_data_centre(front)
+
     @property
     def state(self) -> HostState:
         """State of the host; a ready host is unknown while this process is leaving."""
@@ -164,6 +183,7 @@
                 return
             case HeartbeatOutcome.NEW_INCARNATION:
                 self._start_incarnation(heartbeat, incarnation)
+        self._flows.work.set_slots(self._host.slots)
         self._admission.cold_limit.set_cold_until(now + heartbeat.cold_left_s)
         if self.state is not before:
             self._handle_state_change("heartbeat", now)
@@ -305,7 +325,7 @@
         if self._is_leaving:
             reason = DeclineReason.NOT_READY
         if reason is not None:
-            self._decline(packet, sender, reason, now)
+            self._decline(opening, reason, now)
             return
         self._flows.remove(flow)
         self._dispatcher.submit(opening, now)
@@ -325,21 +345,24 @@
         tag = self._echo_tags.get(front, is_search=is_search)
         self._transport.send_to_host(packets.set_echo(packet, tag))
 
-    def _decline(
-        self, packet: bytes, front: str, reason: DeclineReason, now: float
-    ) -> None:
+    def _decline(self, opening: Opening, reason: DeclineReason, now: float) -> None:
+        name = reason.name.lower()
+        self._events.count("declines." + name)
         self._events.emit_for_flow(
             "declined",
-            packets.get_flow(packet),
-            front=front,
-            reason=reason.name.lower(),
+            opening.flow,
+            front=opening.front,
+            reason=name,
             in_flight=self._flows.in_flight,
             waiting=len(self._dispatcher),
+            waited_s=round(now - opening.arrived_at, 3),
+            expected_wait_s=round(self._expected_wait_s, 3),
+            service_s=self._dispatcher.get_service_s(opening.flow, now),
             heartbeat_age_s=round(self._host.get_heartbeat_age_s(now), 3),
             evacuations=self._admission.evacuations.latest.revision,
         )
-        header = bytes((Kind.DECLINED, reason))
-        self._transport.send_to_node(front, header + packet)
+        header = _build_declined_header(opening, reason, now)
+        self._transport.send_to_node(opening.front, header + opening.packet)
 
     # Later packets.
 
@@ -451,7 +474,11 @@
         if packets.get_flags(packet) & packets.SYN:
             if entry is not None and entry.host_next_seq is None:
                 self._flows.remove(flow)
-            self._decline(restored, origin.front, DeclineReason.FULL, now)
+            opening = self._dispatcher.find_dispatched(flow)
+            if opening is None:
+                opening = Opening(flow, restored, origin.front, 0, now)
+            opening = replace(opening, packet=restored, front=origin.front)
+            self._decline(opening, DeclineReason.FULL, now)
             return
         self._older_flows.end_probe(flow)
         self._flows.remove(flow)
@@ -488,7 +515,9 @@
         if not self._flows.is_load_changed or not self.reporter.may_send_load(now):
             return
         self._flows.is_load_changed = False
-        self.reporter.send_load(len(self._flows), self.state, 0.0, now)
+        wait_s = self._dispatcher.compute_wait_s(now) or 0.0
+        self._expected_wait_s = wait_s
+        self.reporter.send_load(len(self._flows), self.state, wait_s, now)
 
     def handle_pause(self, gap_s: float, now: float) -> None:
         """Exclude a pause of this process from the silence of host and fronts."""
@@ -505,6 +534,9 @@
     def _build_report(
         self, incarnation: int, sequence: int, seeks_hello: bool, now: float
     ) -> Report:
+        wait_s = self._dispatcher.compute_wait_s(now)
+        if wait_s is not None:
+            self._events.observe_expected_wait(wait_s)
         return Report(
             gate_incarnation=incarnation,
             sequence=sequence,
@@ -521,6 +553,7 @@
             seeks_hello=seeks_hello,
             may_hold_flows=self._may_hold_flows(now),
             protocol=PROTOCOL,
+            wait_ms=clamp_ms(wait_s or 0.0),
         )
 
     def _may_hold_flows(self, now: float) -> bool:
@@ -542,6 +575,19 @@
         self._flows.expire(self._admission.idle_s, now)
 
 
+def _build_declined_header(
+    opening: Opening, reason: DeclineReason, now: float
+) -> bytes:
+    """Build the header of a decline, with the time that is left if it was stated."""
+    if opening.deadline_at == math.inf:
+        return bytes((Kind.DECLINED, reason))
+    objective_ms = clamp_ms(opening.objective_at - now)
+    deadline_ms = clamp_ms(opening.deadline_at - now)
+    return TIMED_DECLINED_HEADER.pack(
+        Kind.TIMED_DECLINED, reason, objective_ms, deadline_ms
+    )
+
+
 _FORWARD: Final = int(Kind.FORWARD)
 """Most messages are of this kind, and access to an enumeration member is slower."""
 
--- a/src/balsamstream/flows/reporter.py
+++ b/src/balsamstream/flows/reporter.py
@@ -95,6 +95,10 @@
         """Addresses of the fronts that have sent a hello within the timeout."""
         return list(self._known.heard_at)
 
+    def get_data_centre(self, front: str) -> str:
+        """Return the data centre of a front, empty if it is not known."""
+        return self._known.data_centres.get(front, "")
+
     def add_fronts(self, fronts: Iterable[tuple[str, str]], now: float) -> None:
         """Add fronts that the store or the settings name, and announce the host."""
         for ip, data_centre in fronts:
--- a/src/balsamstream/flows/waiting_queue.py
+++ b/src/balsamstream/flows/waiting_queue.py
@@ -10,8 +10,14 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from dataclasses import dataclass
-from typing import Final
+from typing import TYPE_CHECKING, Final, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from .host_work import Forecast
 
 MAX_WAIT_S: Final = 0.4
 """Bound of the wait. A packet that has waited longer than a fresh request takes is
@@ -55,6 +61,44 @@
     deadline_at: float = math.inf
 
 
+class OpeningQueue(Protocol):
+    """Queue of opening packets that wait for a slot of one host."""
+
+    def __len__(self) -> int: ...
+
+    def __contains__(self, flow: bytes) -> bool: ...
+
+    def can_accept(self, opening: Opening, now: float) -> bool:
+        """Return whether an opening packet may still be dispatched or wait."""
+
+    def count_routes(self) -> Mapping[bytes, int]:
+        """Return the number of packets that wait, by route."""
+
+    def add(self, opening: Opening) -> Opening | None:
+        """Add an opening packet; return one that it displaces, or None."""
+
+    def record_dispatch(self, opening: Opening, now: float) -> None:
+        """Record an opening packet that is dispatched without having waited."""
+
+    def pop(self, now: float) -> Opening | None:
+        """Remove and return the packet that is to be dispatched next."""
+
+    def pop_expired(self, now: float) -> list[Opening]:
+        """Remove and return the packets that have waited for too long."""
+
+    def is_plan_due(self, now: float) -> bool:
+        """Return whether an arrival is a reason to forecast the turns again."""
+
+    def pop_hopeless(self, forecast: Forecast | None, now: float) -> list[Opening]:
+        """Remove and return the packets whose turn cannot come in time."""
+
+    def drain(self) -> list[Opening]:
+        """Remove and return all packets."""
+
+    def clear_order(self) -> None:
+        """Discard the record of past service, as the host has restarted."""
+
+
 class WaitingQueue:
     """Bounded queue of opening packets that wait for a slot of one host."""
 
@@ -67,6 +111,16 @@
     def __contains__(self, flow: bytes) -> bool:
         return flow in self._openings
 
+    def can_accept(self, _opening: Opening, _now: float) -> bool:
+        """Return True, as the wait is bounded whatever the deadline."""
+        return True
+
+    def count_routes(self) -> Mapping[bytes, int]:
+        """Return the number of packets that wait, by route."""
+        if not self._openings:
+            return {}
+        return Counter(flow[2:8] for flow in self._openings)
+
     def add(self, opening: Opening) -> Opening | None:
         """Add an opening packet; return the oldest one if it is displaced, or None."""
         self._openings[opening.flow] = opening
@@ -74,7 +128,10 @@
             return None
         return self._openings.pop(next(iter(self._openings)))
 
-    def pop(self) -> Opening | None:
+    def record_dispatch(self, _opening: Opening, _now: float) -> None:
+        """Record nothing, as the order does not depend on past service."""
+
+    def pop(self, _now: float = 0.0) -> Opening | None:
         """Remove and return the newest packet of the most urgent priority."""
         best: Opening | None = None
         for opening in reversed(self._openings.values()):
@@ -95,6 +152,17 @@
             del self._openings[opening.flow]
         return expired
 
+    def is_plan_due(self, _now: float) -> bool:
+        """Return False, as the bound of the wait is fixed."""
+        return False
+
+    def pop_hopeless(self, _forecast: Forecast | None, _now: float) -> list[Opening]:
+        """Return nothing, as the bound of the wait is fixed."""
+        return []
+
+    def clear_order(self) -> None:
+        """Discard nothing, as the order does not depend on past service."""
+
     def drain(self) -> list[Opening]:
         """Remove and return all packets, the oldest first."""
         openings = list(self._openings.values())
@@ -115,4 +183,11 @@
     return in_flight < slots * OVERCOMMIT
 
 
-__all__ = ["MAX_WAITING", "MAX_WAIT_S", "Opening", "WaitingQueue", "has_capacity"]
+__all__ = [
+    "MAX_WAITING",
+    "MAX_WAIT_S",
+    "Opening",
+    "OpeningQueue",
+    "WaitingQueue",
+    "has_capacity",
+]
