Decline overdue openings before a dispatch by deadline

Cause: after a pause of the gate's process, an answer of the host may be handled before the first tick, and an opening whose time is over would take the slot.

Change: the queue by deadline hands back overdue openings before each dispatch. The fixed queue hands back none there, as before.

No test of the pause was run against the earlier code.

--- a/src/balsamstream/flows/dispatch.py
+++ b/src/balsamstream/flows/dispatch.py
@@ -111,6 +111,8 @@
 
     def dispatch_waiting(self, now: float) -> None:
         """Dispatch as many waiting packets as the host has capacity for."""
+        # After a pause of this process, more may be over than the last tick declined.
+        self._decline_all(self._waiting.pop_hopeless(None, now), now)
         while self._waiting and has_capacity(self._flows.in_flight, self._host.slots):
             opening = self._waiting.pop(now)
             if opening is None:
@@ -131,8 +133,7 @@
     def tick(self, now: float) -> None:
         """Decline packets that timed out, and dispatch what there is capacity for."""
         self._expire_unanswered(now)
-        for opening in self._waiting.pop_expired(now):
-            self._decline(opening, DeclineReason.BUSY, now)
+        self._decline_all(self._waiting.pop_expired(now), now)
         self.dispatch_waiting(now)
         self._decline_hopeless(now)
 
@@ -140,7 +141,11 @@
         """Decline packets whose turn cannot come before their deadline."""
         if not self._waiting:
             return
-        for opening in self._waiting.pop_hopeless(self._flows.work.forecast(now), now):
+        forecast = self._flows.work.forecast(now)
+        self._decline_all(self._waiting.pop_hopeless(forecast, now), now)
+
+    def _decline_all(self, openings: list[Opening], now: float) -> None:
+        for opening in openings:
             self._decline(opening, DeclineReason.BUSY, now)
 
     def _dispatch(self, opening: Opening, now: float) -> None:
--- a/src/balsamstream/flows/fair_queue.py
+++ b/src/balsamstream/flows/fair_queue.py
@@ -222,11 +222,14 @@
         Parameters
         ----------
         forecast : Forecast or None
-            Expected progress of the host; None for unknown, which returns nothing.
+            Expected progress of the host; None for unknown, which returns only the
+            openings whose time is over.
         now : float
             Time, in seconds.
         """
-        if forecast is None or not self._sites:
+        if forecast is None:
+            return self.pop_expired(now)
+        if not self._sites:
             return []
         self._plan_due = now + len(self._sites) * PLAN_INTERVAL_S
         hopeless = []
--- a/tests/flows/test_fair_queue.py
+++ b/tests/flows/test_fair_queue.py
@@ -201,6 +201,18 @@
     assert not queue.pop_hopeless(None, NOW)
 
 
+def test_opening_whose_time_is_over_is_not_dispatched_after_a_pause() -> None:
+    # The host's answers may be read before the first tick after a pause.
+    bench = Bench(slots=1)
+    openings = [build_opening(caller=caller, deadline_s=0.9) for caller in range(4)]
+    for opening in openings:
+        bench.dispatcher.submit(opening, bench.now)
+    bench.now += 1.0
+    bench.answer()
+    assert len(bench.sent) == 2
+    assert len(bench.declined) == 2
+
+
 def test_length_is_bounded_and_the_longest_queue_gives_way() -> None:
     queue = build_queue()
     for caller in range(MAX_WAITING - 5):
