--- a/tests/flows/deployment.py
+++ b/tests/flows/deployment.py
@@ -55,6 +55,12 @@
     def observe_waiting(self, seconds: float) -> None:
         """Ignore the time."""
 
+    def observe_service(self, seconds: float) -> None:
+        """Ignore the time."""
+
+    def observe_expected_wait(self, seconds: float) -> None:
+        """Ignore the time."""
+
     def observe_answer(self, seconds: float) -> None:
         """Ignore the time."""
 
