--- a/src/balsamstream/flows/fair_queue.py
+++ b/src/balsamstream/flows/fair_queue.py
@@ -29,6 +29,10 @@
 
 MAX_TIMED_WAIT_S: Final = 1.2
 """A caller ends its attempt 1.4 s after its first packet."""
+MAX_ATTEMPTS: Final = 3
+"""Attempts of a caller at one request. A front cannot see the earlier ones, so each may
+wait for its share of the deadline: a caller at its last attempt would be gone when a
+slot is free."""
 UNTIMED_WAIT_S: Final = 0.4
 """Objective and deadline of an opening whose front states none."""
 DEFAULT_WORK_S: Final = 0.025
@@ -288,7 +292,8 @@
             return Waiting(opening, route, flow[8:], end_at, end_at, end_at)
         work_s = self._times.estimate_mean_s(route, now) or 0.0
         latest_at = opening.deadline_at - work_s
-        end_at = min(now + MAX_TIMED_WAIT_S, latest_at)
+        share_s = (opening.deadline_at - now) / MAX_ATTEMPTS
+        end_at = min(now + MAX_TIMED_WAIT_S, now + share_s, latest_at)
         return Waiting(
             opening, route, flow[8:], end_at, latest_at, opening.objective_at
         )
