--- a/bench/flow_path.py
+++ b/bench/flow_path.py
@@ -84,6 +84,7 @@
     gate = Gate(
         sink,
         build_events(),
+        ip="10.0.0.2",
         service=SERVICE,
         data_centre="a",
         incarnation=1,
