Eject no healthy host for the varying size of its answers

Change: bytes count below a quarter of the peers' median quartile only. The test with the observed ratios failed first.

--- a/src/balsamstream/flows/outliers.py
+++ b/src/balsamstream/flows/outliers.py
@@ -37,7 +37,9 @@
 all windows, and 5 of 16 in 0.005 %."""
 MAX_FAILURE_RATIO: Final = 4.0
 """Failure rate relative to the peers' median; all hosts fail alike under overload."""
-MIN_BYTES_RATIO: Final = 0.5
+MIN_BYTES_RATIO: Final = 0.25
+"""Lower quartile of bytes relative to the peers' median quartile. Healthy hosts come to
+a third of it where few small answers of varying size are compared."""
 MAX_TIME_RATIO: Final = 3.0
 """Service time relative to the peers' median, and the inverse of the least ratio."""
 MIN_TIME_DIFFERENCE_MS: Final = 2.0
--- a/tests/flows/test_outliers.py
+++ b/tests/flows/test_outliers.py
@@ -178,6 +178,16 @@
     assert fleet.count_reduced() == 0
 
 
+@pytest.mark.parametrize(("answers", "size"), [(9, 153), (22, 215), (45, 218)])
+def test_host_with_some_small_answers_stays_at_full_use(
+    answers: int, size: int
+) -> None:
+    """Guards against an ejection of healthy hosts whose answers vary in size."""
+    fleet = Fleet(10)
+    fleet.run(1.0, RouteReport(7, answers, 20.0, size, 0))
+    assert fleet.hosts[0].use is Use.FULL
+
+
 def test_host_with_fewer_than_four_peers_stays_at_full_use() -> None:
     fleet = Fleet(4)
     fleet.run(2.0, FAILING)
