Let openings in time precede late ones, do not count late ones as the wait of a new one

Late openings of callers with little recent service preceded those in time, and fronts refused 388 flows in half a second as overload, as the reported wait held late openings that a new one precedes. Change: within a share, openings that can meet their objective go first; the expected wait leaves the others out.

--- a/src/balsamstream/flows/dispatch.py
+++ b/src/balsamstream/flows/dispatch.py
@@ -77,7 +77,8 @@
 
     def compute_wait_s(self, now: float) -> float | None:
         """Return the expected time until the host begins one more request, if known."""
-        return self._flows.work.compute_wait_s(self._waiting.count_routes(), now)
+        waiting = self._waiting.count_routes(now)
+        return self._flows.work.compute_wait_s(waiting, now)
 
     def get_service_s(self, flow: bytes, now: float) -> float | None:
         """Return the learned median service time of a flow's route, if known."""
--- a/src/balsamstream/flows/fair_queue.py
+++ b/src/balsamstream/flows/fair_queue.py
@@ -7,9 +7,10 @@
 centre beside local ones.
 
 Order: start-time fair queuing between routes, with the weight halved for each step of
-priority; equal shares for the data centres of the fronts within a route; then callers
-with the least recent service; then those that can still meet the objective, the newest
-first. An opening whose turn cannot come before its deadline is handed back at once.
+priority; equal shares for the data centres of the fronts within a route; then openings
+that can still meet the objective; among them callers with the least recent service,
+the newest first. An opening whose turn cannot come before its deadline is handed back
+at once.
 """
 
 from __future__ import annotations
@@ -164,12 +165,19 @@
         """Return whether the deadline of an opening is not over yet."""
         return now < opening.deadline_at
 
-    def count_routes(self) -> dict[bytes, int]:
-        """Return the number of openings that wait, by route."""
+    def count_routes(self, now: float) -> dict[bytes, int]:
+        """Return the number of openings that wait and may precede a new one, by route.
+
+        Openings that are too late for their objective follow the new one.
+        """
         if not self._sites:
             return {}
         return {
-            key: sum(len(site.waiting) for site in route.sites.values())
+            key: sum(
+                item.objective_at >= now
+                for site in route.sites.values()
+                for item in site.waiting.values()
+            )
             for key, route in self._routes.items()
         }
 
@@ -329,13 +337,13 @@
         work_s = self._get_work_s(next(iter(items)).route, now)
         levels: dict[bytes, int] = {}
 
-        def rank(item: Waiting) -> tuple[int, bool, float]:
+        def rank(item: Waiting) -> tuple[bool, int, float]:
             level = levels.get(item.caller)
             if level is None:
                 served_s = self._callers.get_served_s(item.caller, now)
                 level = levels[item.caller] = compute_level(served_s, work_s)
             is_late = now + work_s > item.objective_at
-            return level, is_late, -item.opening.arrived_at
+            return is_late, level, -item.opening.arrived_at
 
         return min(items, key=rank).opening
 
@@ -348,21 +356,16 @@
         """
         served_s: dict[bytes, float] = {}
         ranked = []
-        newest = sorted(
-            items,
-            key=lambda each: (
-                now + work_s > each.objective_at,
-                -each.opening.arrived_at,
-            ),
-        )
+        newest = sorted(items, key=lambda each: -each.opening.arrived_at)
         for item in newest:
             total_s = served_s.get(item.caller)
             if total_s is None:
                 total_s = self._callers.get_served_s(item.caller, now)
             served_s[item.caller] = total_s + work_s
-            ranked.append((compute_level(total_s, work_s), item))
-        ranked.sort(key=lambda each: each[0])
-        return [item for _, item in ranked]
+            is_late = now + work_s > item.objective_at
+            ranked.append((is_late, compute_level(total_s, work_s), item))
+        ranked.sort(key=lambda each: each[:2])
+        return [item for _, _, item in ranked]
 
     def _displace(self) -> Opening:
         """Remove and return the last opening of the longest queue for its weight."""
--- a/src/balsamstream/flows/waiting_queue.py
+++ b/src/balsamstream/flows/waiting_queue.py
@@ -71,8 +71,8 @@
     def can_accept(self, opening: Opening, now: float) -> bool:
         """Return whether an opening packet may still be dispatched or wait."""
 
-    def count_routes(self) -> Mapping[bytes, int]:
-        """Return the number of packets that wait, by route."""
+    def count_routes(self, now: float) -> Mapping[bytes, int]:
+        """Return the number of packets that may precede a new one, by route."""
 
     def add(self, opening: Opening) -> Opening | None:
         """Add an opening packet; return one that it displaces, or None."""
@@ -115,7 +115,7 @@
         """Return True, as the wait is bounded whatever the deadline."""
         return True
 
-    def count_routes(self) -> Mapping[bytes, int]:
+    def count_routes(self, _now: float) -> Mapping[bytes, int]:
         """Return the number of packets that wait, by route."""
         if not self._openings:
             return {}
--- a/tests/flows/test_fair_queue.py
+++ b/tests/flows/test_fair_queue.py
@@ -426,3 +426,25 @@
     outcomes = bench.sent + [opening.flow for opening, _ in bench.declined]
     assert Counter(outcomes) == Counter(opened)
     assert all(reason is DeclineReason.BUSY for _, reason in bench.declined)
+
+
+def test_opening_in_time_precedes_a_late_one_of_a_caller_with_less_service() -> None:
+    """Guards against slots for late answers while requests in time become late."""
+    queue = build_queue()
+    served = build_opening(caller=1)
+    for _ in range(4):
+        queue.record_dispatch(served, NOW)
+    late = build_opening(caller=2, at=NOW - 0.5)
+    queue.add(late)
+    queue.add(build_opening(caller=1))
+    assert queue.pop(NOW) != late
+
+
+def test_late_openings_do_not_count_for_the_wait_of_a_new_one() -> None:
+    """Guards against refusals of requests that the host would answer in time."""
+    queue = build_queue()
+    for caller in range(5):
+        queue.add(build_opening(caller=caller, at=NOW - 0.5))
+    assert sum(queue.count_routes(NOW).values()) == 0
+    queue.add(build_opening(caller=9))
+    assert sum(queue.count_routes(NOW).values()) == 1
