Clear the mark of an entry once a host is seen, repeat that a stopping gate's host is gone

A front kept the mark of a gate's entry for good: a host that came later, and whose gate restarted, was not awaited, and its open flows could be reset. The load message after a gate's last report named the host unknown instead of gone. A second task for the mark was refused by the kernel while the first one waited for the store, so a heartbeat got no answer. The set of fronts that understand timed messages only grew. Change: the mark counts until a host is reported ready or draining; the load names the state that the report names; one task writes the mark until it is up to date; fronts that are not heard leave the set. Tests of the first two failed by reading, not by a run.

--- a/src/balsamstream/flows/directory.py
+++ b/src/balsamstream/flows/directory.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
+from .heartbeat import HostState
 from .placement import LOST_TIMEOUT_S, Host
 from .roster import FrontRoster, GateRoster, Names
 from .subset import is_address
@@ -117,7 +118,7 @@
             added += self._add(name, now)
             self._get_roster(name).sightings[name.ip].listed_at = now
             host = self.gates.hosts.get(name.ip)
-            if host is not None:
+            if host is not None and host.state is HostState.UNKNOWN:
                 host.is_marked_left = name.ip in without_host
         self._record_completeness(now)
         return added
--- a/src/balsamstream/flows/fleet.py
+++ b/src/balsamstream/flows/fleet.py
@@ -266,6 +266,9 @@
         host.is_empty = host.is_empty and state != HostState.READY
 
     def _set_state(self, host: Host, state: HostState, now: float) -> None:
+        if state in _HOST_STATES:
+            # A host has come since its gate's entry was marked, and may hold flows.
+            host.is_marked_left = False
         self._events.emit(
             "host_state",
             host=host.ip,
@@ -475,6 +478,7 @@
 
 
 _STATES: Final = frozenset(HostState)
+_HOST_STATES: Final = (HostState.READY, HostState.DRAINING)
 _LOAD_SIZES: Final = (LOAD_MESSAGE.size, TIMED_LOAD_MESSAGE.size)
 
 __all__ = ["Fleet", "FleetTransport"]
--- a/src/balsamstream/flows/gate.py
+++ b/src/balsamstream/flows/gate.py
@@ -536,7 +536,8 @@
         self._flows.is_load_changed = False
         wait_s = self._dispatcher.compute_wait_s(now) or 0.0
         self._expected_wait_s = wait_s
-        self.reporter.send_load(len(self._flows), self.state, wait_s, now)
+        state = self._get_reported_state(now)
+        self.reporter.send_load(len(self._flows), state, wait_s, now)
 
     def handle_pause(self, gap_s: float, now: float) -> None:
         """Exclude a pause of this process from the silence of host and fronts."""
--- a/src/balsamstream/flows/reporter.py
+++ b/src/balsamstream/flows/reporter.py
@@ -162,6 +162,7 @@
         for ip in self._known.remove_silent(FRONT_TIMEOUT_S, now):
             self._events.emit("front_lost", front=ip, reason="silent")
         self._known.remove_expired(now)
+        self._timed_fronts &= self._known.heard_at.keys()
         self._chosen = frozenset(self._choose_fronts())
         silent = [ip for ip in self._chosen if ip not in self._known.heard_at]
         self.send_report(silent, now)
--- a/src/balsamstream/node/gate.py
+++ b/src/balsamstream/node/gate.py
@@ -46,6 +46,7 @@
         )
         self._host_found = asyncio.Event()
         self._is_marked = False
+        self._is_marking = False
         self._host_address = split_address(host.address)
         self._callers_port = split_address(settings.callers)[1]
         self._host_socket = DatagramSocket(
@@ -195,7 +196,9 @@
         if is_without_host == self._is_marked:
             return
         self._is_marked = is_without_host
-        self.start_task("mark_entry", self._update_entry)
+        if not self._is_marking:
+            self._is_marking = True
+            self.start_task("mark_entry", self._update_entry)
 
     async def _update_entry(self) -> None:
         """Write the mark, again if the host has left or returned meanwhile."""
@@ -203,6 +206,7 @@
             is_marked = self._is_marked
             await self.discovery.update_host(is_without_host=is_marked)
             if is_marked == self._is_marked:
+                self._is_marking = False
                 return
 
 
--- a/tests/flows/test_search.py
+++ b/tests/flows/test_search.py
@@ -470,3 +470,39 @@
     )
     (answer,) = caller.send_request("10.1.0.2", b"again")
     assert answer.data == b"answer again"
+
+
+def test_mark_of_an_entry_does_not_outlast_the_next_host() -> None:
+    """Guards against a reset of an open flow whose gate restarts."""
+    deployment = build_deployment()
+    holder = next(iter(deployment.gates.values()))
+    holder.restart()
+    holder.sends_heartbeats = False
+    node = deployment.fronts["10.1.0.2"]
+    node.start()
+    node.front.fleet.add_listed_nodes(
+        deployment.list_names(), deployment.now, {holder.ip}
+    )
+    deployment.pass_time(0.6)
+    assert node.front.fleet.find_host(holder.ip).is_marked_left
+    holder.send_heartbeat()
+    deployment.run()
+    holder.gate_incarnation += 1
+    holder.start()
+    holder.find_fronts()
+    deployment.run()
+    host = node.front.fleet.find_host(holder.ip)
+    assert host.state is HostState.UNKNOWN
+    assert host.may_hold_flows(deployment.now)
+
+
+def test_load_of_a_stopping_gate_repeats_that_its_host_is_gone() -> None:
+    """Guards against fronts that await a gate which has ended without flows."""
+    deployment = build_deployment()
+    caller = open_flow(deployment)
+    holder = caller.get_holder()
+    holder.gate.leave(deployment.now, has_host=False)
+    deployment.pass_time(0.3)
+    host = deployment.fronts["10.1.0.2"].front.fleet.find_host(holder.ip)
+    assert host is not None
+    assert host.state is HostState.GONE
