Name the parts of a flow's key and the defaults of the load decisions once

Cause: the change wrote slices of the flow key in five modules, milliseconds a second in five and the default policy in four, and asked for 'by delay or by deadline' in four places. A gate left that question half out: with by_deadline alone it reported no service times, so fronts refused and placed again without them (found by the review). Change: packets.get_flow_route and get_flow_caller, messages.MS_PER_S, load_policy.DEFAULT_POLICY, LoadPolicy.estimates_delays and records_answers.

--- a/src/balsamstream/flows/answer_record.py
+++ b/src/balsamstream/flows/answer_record.py
@@ -15,7 +15,7 @@
 
 from balsamstream.platform import packets
 
-from .messages import RouteReport, compute_route_tag
+from .messages import MS_PER_S, RouteReport, compute_route_tag
 
 WINDOW_S: Final = 5.0
 """Age up to which answers are reported."""
@@ -36,9 +36,6 @@
 """Objective of a route of which no front has stated one."""
 REUSE_S: Final = 0.2
 """Age up to which a built report is sent to further fronts."""
-MS_PER_S: Final = 1_000.0
-_ROUTE_FIELD: Final = slice(2, 8)
-"""Address and port of the route within the key of a flow."""
 
 
 class _Sample(NamedTuple):
@@ -238,7 +235,7 @@
         start = request.get_start()
         if start is None or now - request.arrived_at > MAX_PENDING_S:
             return False
-        record = self._routes.get(flow[_ROUTE_FIELD])
+        record = self._routes.get(packets.get_flow_route(flow))
         objective_s = DEFAULT_OBJECTIVE_S if record is None else record.objective_s
         return now - start > objective_s
 
@@ -249,7 +246,7 @@
 
     def _get_route(self, flow: bytes, now: float) -> _RouteRecord | None:
         """Return the record of a flow's route, or None if too many are in use."""
-        route = flow[_ROUTE_FIELD]
+        route = packets.get_flow_route(flow)
         record = self._routes.get(route)
         if record is not None:
             return record
--- a/src/balsamstream/flows/choice.py
+++ b/src/balsamstream/flows/choice.py
@@ -83,7 +83,7 @@
         now : float
             Time, in seconds.
         """
-        if not (self._policy.by_delay or self._policy.by_deadline):
+        if not self._policy.estimates_delays:
             host = choose_host(
                 hosts, self._data_centre, evacuated, declined_by, now, flow.key
             )
--- a/src/balsamstream/flows/dispatch.py
+++ b/src/balsamstream/flows/dispatch.py
@@ -6,6 +6,8 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
+from balsamstream.platform import packets
+
 from .messages import DeclineReason
 from .waiting_queue import Opening, OpeningQueue, has_capacity
 
@@ -82,7 +84,8 @@
 
     def get_service_s(self, flow: bytes, now: float) -> float | None:
         """Return the learned median service time of a flow's route, if known."""
-        median_s = self._flows.work.times.get_median_s(flow[2:8], now)
+        route = packets.get_flow_route(flow)
+        median_s = self._flows.work.times.get_median_s(route, now)
         return None if median_s is None else round(median_s, 4)
 
     def submit(self, opening: Opening, now: float) -> None:
--- a/src/balsamstream/flows/fair_queue.py
+++ b/src/balsamstream/flows/fair_queue.py
@@ -19,6 +19,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final, TypeVar
 
+from balsamstream.platform import packets
+
 from .caller_record import CallerRecord, compute_level
 from .waiting_queue import MAX_WAITING
 
@@ -292,26 +294,25 @@
             self.add(opening)
 
     def _build_item(self, opening: Opening) -> Waiting:
-        now, flow = opening.arrived_at, opening.flow
-        route = flow[2:8]
+        now = opening.arrived_at
+        route = packets.get_flow_route(opening.flow)
+        caller = packets.get_flow_caller(opening.flow)
         # An OPEN states no times; its bound is one of the wait alone.
         if opening.deadline_at == math.inf:
             end_at = now + UNTIMED_WAIT_S
-            return Waiting(opening, route, flow[8:], end_at, end_at, end_at)
+            return Waiting(opening, route, caller, end_at, end_at, end_at)
         work_s = self._times.estimate_mean_s(route, now) or 0.0
         latest_at = opening.deadline_at - work_s
         share_s = (opening.deadline_at - now) / MAX_ATTEMPTS
         end_at = min(now + MAX_TIMED_WAIT_S, now + share_s, latest_at)
-        return Waiting(
-            opening, route, flow[8:], end_at, latest_at, opening.objective_at
-        )
+        return Waiting(opening, route, caller, end_at, latest_at, opening.objective_at)
 
     def _get_work_s(self, route: bytes, now: float) -> float:
         # A time of zero would let a route take any share.
         return self._times.estimate_mean_s(route, now) or DEFAULT_WORK_S
 
     def _find_shares(self, opening: Opening) -> tuple[RouteShare, SiteShare]:
-        key = opening.flow[2:8]
+        key = packets.get_flow_route(opening.flow)
         route = self._routes.get(key)
         if route is None:
             _forget_idle(self._routes)
@@ -327,10 +328,10 @@
     def _charge(
         self, route: RouteShare, site: SiteShare, opening: Opening, now: float
     ) -> None:
-        work_s = self._get_work_s(opening.flow[2:8], now)
+        work_s = self._get_work_s(packets.get_flow_route(opening.flow), now)
         self._clock = route.charge(self._clock, work_s)
         route.clock = site.charge(route.clock, work_s)
-        self._callers.add(opening.flow[8:], work_s, now)
+        self._callers.add(packets.get_flow_caller(opening.flow), work_s, now)
 
     def _choose(self, items: Collection[Waiting], now: float) -> Opening:
         """Return the first opening in the order of one route and data centre."""
--- a/src/balsamstream/flows/fleet.py
+++ b/src/balsamstream/flows/fleet.py
@@ -16,9 +16,10 @@
 from .directory import Directory
 from .evacuation_record import EvacuationRecord
 from .heartbeat import HostState
-from .load_policy import LoadPolicy
+from .load_policy import DEFAULT_POLICY, LoadPolicy
 from .messages import (
     LOAD_MESSAGE,
+    MS_PER_S,
     PROTOCOL,
     TIMED_LOAD_MESSAGE,
     Hello,
@@ -46,8 +47,6 @@
 NAMES_INTERVAL: Final = 4
 """Hellos to a node between two that name other nodes."""
 DEFAULT_IDLE_S: Final = 60.0
-DEFAULT_POLICY: Final = LoadPolicy()
-MS_PER_S: Final = 1_000.0
 
 
 class FleetTransport(Protocol):
@@ -102,7 +101,7 @@
         now: float,
         policy: LoadPolicy = DEFAULT_POLICY,
     ) -> None:
-        self._learns_round_trips = policy.by_delay or policy.by_deadline
+        self._learns_round_trips = policy.estimates_delays
         self._transport = transport
         self._events = events
         self._ip = ip
--- a/src/balsamstream/flows/front.py
+++ b/src/balsamstream/flows/front.py
@@ -16,8 +16,9 @@
 from .fleet import Fleet, FleetTransport
 from .heartbeat import HostState
 from .hints import Hints
-from .load_policy import LoadPolicy
+from .load_policy import DEFAULT_POLICY, LoadPolicy
 from .messages import (
+    MS_PER_S,
     OPEN_HEADER,
     TIMED_DECLINED_HEADER,
     TIMED_OPEN_HEADER,
@@ -51,8 +52,6 @@
 SILENCE_S: Final = 0.15
 """Time from placing a flow after which a gate that has not reported since is silent;
 gates report each change of load at once."""
-MS_PER_S: Final = 1_000.0
-DEFAULT_POLICY: Final = LoadPolicy()
 NO_DETAILS: Final[Mapping[str, object]] = MappingProxyType({})
 
 
@@ -104,7 +103,6 @@
         self._policy = policy
         self._transport = transport
         self._events = events
-        self._data_centre = data_centre
         self.fleet = Fleet(
             transport,
             events,
@@ -279,7 +277,7 @@
         self, expected_s: float, left_s: float, declined_as: str
     ) -> dict[str, object]:
         """Return the log fields of a choice by expected time or deadline."""
-        if not (self._policy.by_delay or self._policy.by_deadline):
+        if not self._policy.estimates_delays:
             return {}
         return {
             "expected_s": round(expected_s, 3),
--- a/src/balsamstream/flows/gate.py
+++ b/src/balsamstream/flows/gate.py
@@ -21,8 +21,9 @@
 from .flow_table import Flow, FlowTable
 from .heartbeat import HostState
 from .host_record import HeartbeatOutcome, HostRecord
-from .load_policy import LoadPolicy
+from .load_policy import DEFAULT_POLICY, LoadPolicy
 from .messages import (
+    MS_PER_S,
     OPEN_HEADER,
     PROTOCOL,
     TIMED_DECLINED_HEADER,
@@ -48,8 +49,6 @@
     from .messages import RouteReport
 
 EXPIRE_INTERVAL_S: Final = 1.0
-DEFAULT_POLICY: Final = LoadPolicy()
-MS_PER_S: Final = 1_000.0
 
 
 class GateTransport(Protocol):
@@ -113,8 +112,7 @@
         self._service = service
         self._data_centre = data_centre
         self._host = HostRecord(service, heartbeat_s, now)
-        records_answers = policy.detects_outliers or policy.by_delay
-        self._answers = AnswerRecord() if records_answers else None
+        self._answers = AnswerRecord() if policy.records_answers else None
         self._flows = FlowTable(events, self._answers)
         self._echo_tags = EchoTags()
         self._admission = Admission(events, self._host, service, data_centre)
--- a/src/balsamstream/flows/host_work.py
+++ b/src/balsamstream/flows/host_work.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
+from balsamstream.platform import packets
+
 from .service_time import ServiceTimes
 
 if TYPE_CHECKING:
@@ -85,7 +87,7 @@
 
     def get_route(self, flow: bytes) -> RouteWork:
         """Return the work of the route of a flow key."""
-        key = flow[2:8]
+        key = packets.get_flow_route(flow)
         route = self._routes.get(key)
         if route is not None:
             return route
--- a/src/balsamstream/flows/load_policy.py
+++ b/src/balsamstream/flows/load_policy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Final
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,5 +26,19 @@
     by_delay: bool = False
     detects_outliers: bool = False
 
+    @property
+    def estimates_delays(self) -> bool:
+        """Whether fronts estimate when a host would answer a new request."""
+        return self.by_delay or self.by_deadline
 
-__all__ = ["LoadPolicy"]
+    @property
+    def records_answers(self) -> bool:
+        """Whether gates report the recent answers of their hosts, route by route."""
+        return self.estimates_delays or self.detects_outliers
+
+
+DEFAULT_POLICY: Final = LoadPolicy()
+"""Decisions of earlier releases."""
+
+
+__all__ = ["DEFAULT_POLICY", "LoadPolicy"]
--- a/src/balsamstream/flows/messages.py
+++ b/src/balsamstream/flows/messages.py
@@ -24,6 +24,7 @@
 """Version of the messages that this release understands."""
 TIMED_PROTOCOL: Final = 2
 """First version with TIMED_OPEN, TIMED_LOAD and TIMED_DECLINED."""
+MS_PER_S: Final = 1_000.0
 MAX_MS: Final = 65_535
 """Greatest time in a binary header, in milliseconds."""
 
@@ -179,7 +180,7 @@
 
 def clamp_ms(seconds: float) -> int:
     """Return a time in milliseconds as a header holds it, 0 to `MAX_MS`."""
-    return max(0, min(MAX_MS, round(seconds * 1_000)))
+    return max(0, min(MAX_MS, round(seconds * MS_PER_S)))
 
 
 class NodeName(msgspec.Struct, array_like=True, frozen=True):
@@ -360,6 +361,7 @@
 __all__ = [
     "LOAD_MESSAGE",
     "MAX_MS",
+    "MS_PER_S",
     "OPEN_HEADER",
     "PROTOCOL",
     "TIMED_DECLINED_HEADER",
--- a/src/balsamstream/flows/placement.py
+++ b/src/balsamstream/flows/placement.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING, Final
 
 from .heartbeat import HostState
+from .messages import MS_PER_S
 from .outliers import PROBE_INTERVAL_S, Use, is_in_quarter
 from .round_trip import RoundTrip
 
@@ -25,7 +26,6 @@
 ALIVE_TIMEOUT_S: Final = 1.2
 """Silence of a gate after which it gets no new flows; it answers hellos twice a
 second."""
-MS_PER_S: Final = 1_000.0
 COLD_FACTOR: Final = 2.0
 """Factor by which the load of a cold host is weighted."""
 LOST_TIMEOUT_S: Final = 3.0
--- a/src/balsamstream/flows/waiting_queue.py
+++ b/src/balsamstream/flows/waiting_queue.py
@@ -14,6 +14,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, Protocol
 
+from balsamstream.platform import packets
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -119,7 +121,7 @@
         """Return the number of packets that wait, by route."""
         if not self._openings:
             return {}
-        return Counter(flow[2:8] for flow in self._openings)
+        return Counter(map(packets.get_flow_route, self._openings))
 
     def add(self, opening: Opening) -> Opening | None:
         """Add an opening packet; return the oldest one if it is displaced, or None."""
--- a/src/balsamstream/platform/packets.py
+++ b/src/balsamstream/platform/packets.py
@@ -29,6 +29,8 @@
 _ECHO_FIELD: Final = slice(8, 12)
 _FLOW_KEY_FIELD: Final = slice(12, 24)
 _ROUTE_FIELD: Final = slice(14, 20)
+_FLOW_ROUTE_FIELD: Final = slice(2, 8)
+_FLOW_CALLER_FIELD: Final = slice(8, 12)
 
 FLOW_KEY_BYTES: Final = 12
 MAX_PORT: Final = 65_535
@@ -85,6 +87,16 @@
     return packet[_ROUTE_FIELD]
 
 
+def get_flow_route(flow: bytes) -> bytes:
+    """Return the route's address and port in a flow key, in the form of `get_route`."""
+    return flow[_FLOW_ROUTE_FIELD]
+
+
+def get_flow_caller(flow: bytes) -> bytes:
+    """Return the caller's address in a flow key, 4 bytes."""
+    return flow[_FLOW_CALLER_FIELD]
+
+
 def get_destination(packet: bytes) -> str:
     """Return the destination IP address of a packet."""
     return socket.inet_ntoa(packet[14:18])
@@ -164,6 +176,8 @@
     "get_echo",
     "get_flags",
     "get_flow",
+    "get_flow_caller",
+    "get_flow_route",
     "get_destination",
     "get_route",
     "get_seq",
--- a/tests/flows/deployment.py
+++ b/tests/flows/deployment.py
@@ -18,7 +18,7 @@
 from balsamstream.flows.front import Front
 from balsamstream.flows.gate import Gate
 from balsamstream.flows.heartbeat import Heartbeat, HostState
-from balsamstream.flows.load_policy import LoadPolicy
+from balsamstream.flows.load_policy import DEFAULT_POLICY, LoadPolicy
 from balsamstream.flows.messages import Kind, NodeName
 from balsamstream.platform import packets
 from standins.flow_host import ACK, FIN, SYN, FlowHost, Packet, decode
@@ -28,7 +28,6 @@
 SERVICE = "comptoir"
 HEARTBEAT_S = 1.0
 STEP_S = 0.01
-DEFAULT_POLICY = LoadPolicy()
 
 
 class RecordedEvents:
