Give shares and deviations modules of their own, decline expired openings in one place

Cause: fair_queue.py held virtual times beside the queue, outliers.py statistics beside the levels of use. A tick declined expired openings and then dispatched, which declined them again; a missing forecast stood for 'expired' in one of two queues. The front built the headers of both opening messages and the age of a copy twice, and openings kept a route tag that nothing read. Change: flows/fair_share.py and flows/deviations.py; dispatch_waiting declines what is expired, for both queues; one place sends an opening. On the wire nothing changes.

--- a/src/balsamstream/flows/dispatch.py
+++ b/src/balsamstream/flows/dispatch.py
@@ -114,9 +114,12 @@
             self._decline_hopeless(now)
 
     def dispatch_waiting(self, now: float) -> None:
-        """Dispatch as many waiting packets as the host has capacity for."""
-        # After a pause of this process, more may be over than the last tick declined.
-        self._decline_all(self._waiting.pop_hopeless(None, now), now)
+        """Dispatch as many waiting packets as the host has capacity for.
+
+        Those that have waited for too long are declined first. After a pause of this
+        process there may be some although no tick was due.
+        """
+        self._decline_all(self._waiting.pop_expired(now), now)
         while self._waiting and has_capacity(self._flows.in_flight, self._host.slots):
             opening = self._waiting.pop(now)
             if opening is None:
@@ -137,7 +140,6 @@
     def tick(self, now: float) -> None:
         """Decline packets that timed out, and dispatch what there is capacity for."""
         self._expire_unanswered(now)
-        self._decline_all(self._waiting.pop_expired(now), now)
         self.dispatch_waiting(now)
         self._decline_hopeless(now)
 
--- a/src/balsamstream/flows/fair_queue.py
+++ b/src/balsamstream/flows/fair_queue.py
@@ -16,12 +16,18 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Final, TypeVar
+from typing import TYPE_CHECKING, Final
 
 from balsamstream.platform import packets
 
 from .caller_record import CallerRecord, compute_level
+from .fair_share import (
+    RouteShare,
+    SiteShare,
+    Waiting,
+    forget_idle,
+    merge_turns,
+)
 from .waiting_queue import MAX_WAITING
 
 if TYPE_CHECKING:
@@ -44,98 +50,11 @@
 MAX_PRIORITY_STEPS: Final = 16
 """Steps of priority beyond which the weight is no longer halved, so that virtual times
 keep their precision."""
-MAX_SHARES: Final = 64
-"""Idle routes, and idle data centres of a route, whose past service is remembered."""
 PLAN_INTERVAL_S: Final = 40e-6
 """Minimum time between two forecasts on arrival, for each opening that waits. A burst
 of 512 openings then costs no more forecasts than the ticks do."""
 
 
-@dataclass(slots=True, eq=False)
-class Waiting:
-    """An opening that waits.
-
-    Attributes
-    ----------
-    opening : Opening
-        The opening.
-    route, caller : bytes
-        Address and port of the route; address of the caller.
-    expires_at : float
-        Time at which it is declined if it still waits, in seconds.
-    latest_start_at : float
-        Time after which the host need not begin the request, in seconds. It may be
-        later than `expires_at`: the caller's next attempt may then have its turn.
-    objective_at : float
-        Time at which the objective is over, in seconds.
-    """
-
-    opening: Opening
-    route: bytes
-    caller: bytes
-    expires_at: float
-    latest_start_at: float
-    objective_at: float
-
-
-@dataclass(slots=True, eq=False)
-class Share:
-    """One party to start-time fair queuing.
-
-    Attributes
-    ----------
-    weight : float
-        Share relative to the other parties.
-    finish : float
-        Virtual time at which its last dispatched opening ends.
-    newest_at : float
-        Time of its last arrival, in seconds; decides between equal virtual times.
-    """
-
-    weight: float = 1.0
-    finish: float = 0.0
-    newest_at: float = 0.0
-
-    def charge(self, clock: float, work_s: float) -> float:
-        """Charge a dispatched opening; return its start, the new virtual time."""
-        start = max(clock, self.finish)
-        self.finish = start + work_s / self.weight
-        return start
-
-    def get_turn(self, clock: float) -> tuple[float, float, float]:
-        """Return when the next opening is due; the least goes first."""
-        return max(clock, self.finish), -self.weight, -self.newest_at
-
-
-@dataclass(slots=True, eq=False)
-class SiteShare(Share):
-    """Openings of one route from the fronts of one data centre."""
-
-    waiting: dict[bytes, Waiting] = field(default_factory=dict)
-
-    @property
-    def is_idle(self) -> bool:
-        """Whether no opening waits."""
-        return not self.waiting
-
-
-@dataclass(slots=True, eq=False)
-class RouteShare(Share):
-    """Openings of one route, by the data centre of their fronts."""
-
-    clock: float = 0.0
-    sites: dict[str, SiteShare] = field(default_factory=dict)
-
-    @property
-    def is_idle(self) -> bool:
-        """Whether no opening waits."""
-        return all(site.is_idle for site in self.sites.values())
-
-
-Key = TypeVar("Key", bytes, str)
-Party = TypeVar("Party", RouteShare, SiteShare)
-
-
 class FairQueue:
     """Bounded queue of opening packets that wait for a slot of one host.
 
@@ -236,14 +155,11 @@
         Parameters
         ----------
         forecast : Forecast or None
-            Expected progress of the host; None for unknown, which returns only the
-            openings whose time is over.
+            Expected progress of the host; None for unknown, which returns nothing.
         now : float
             Time, in seconds.
         """
-        if forecast is None:
-            return self.pop_expired(now)
-        if not self._sites:
+        if forecast is None or not self._sites:
             return []
         self._plan_due = now + len(self._sites) * PLAN_INTERVAL_S
         hopeless = []
@@ -260,8 +176,8 @@
             self._remove(opening.flow)
         return hopeless
 
-    def plan(self, now: float) -> Iterator[Waiting]:
-        """Yield the openings in the order in which they would be dispatched."""
+    def plan(self, now: float) -> list[Waiting]:
+        """Return the openings in the order in which they would be dispatched."""
         turns = []
         for key, route in self._routes.items():
             if route.is_idle:
@@ -270,10 +186,9 @@
             sites = []
             for site in route.sites.values():
                 items = self._sort(site.waiting.values(), work_s, now)
-                sites.append((site, items))
-            ordered = _merge(sites, route.clock, work_s)
-            turns.append((route, ordered, work_s))
-        return iter(_merge_turns(turns, self._clock))
+                sites.append((site, items, work_s))
+            turns.append((route, merge_turns(sites, route.clock), work_s))
+        return merge_turns(turns, self._clock)
 
     def drain(self) -> list[Opening]:
         """Remove and return all packets, the oldest first."""
@@ -315,13 +230,13 @@
         key = packets.get_flow_route(opening.flow)
         route = self._routes.get(key)
         if route is None:
-            _forget_idle(self._routes)
+            forget_idle(self._routes)
             route = self._routes[key] = RouteShare()
         route.weight = 0.5 ** min(opening.priority, MAX_PRIORITY_STEPS)
         data_centre = self._get_data_centre(opening.front)
         site = route.sites.get(data_centre)
         if site is None:
-            _forget_idle(route.sites)
+            forget_idle(route.sites)
             site = route.sites[data_centre] = SiteShare()
         return route, site
 
@@ -394,36 +309,4 @@
             yield site.waiting[flow]
 
 
-def _merge(
-    queues: list[tuple[SiteShare, list[Waiting]]], clock: float, work_s: float
-) -> list[Waiting]:
-    """Merge the queues of a route's data centres into their order of dispatch."""
-    turns = [(site, items, work_s) for site, items in queues if items]
-    return _merge_turns(turns, clock)
-
-
-def _merge_turns(
-    queues: Iterable[tuple[Share, list[Waiting], float]], clock: float
-) -> list[Waiting]:
-    """Merge queues by the virtual times at which their openings start."""
-    turns: list[tuple[tuple[float, float, float], Waiting]] = []
-    for share, items, work_s in queues:
-        start, weight, newest_at = share.get_turn(clock)
-        step = work_s / share.weight
-        for item in items:
-            turns.append(((start, weight, newest_at), item))
-            start += step
-    turns.sort(key=lambda each: each[0])
-    return [item for _, item in turns]
-
-
-def _forget_idle(shares: dict[Key, Party]) -> None:
-    """Remove an idle party if there are too many; its past service is forgotten."""
-    if len(shares) < MAX_SHARES:
-        return
-    idle = next((key for key, share in shares.items() if share.is_idle), None)
-    if idle is not None:
-        del shares[idle]
-
-
 __all__ = ["MAX_TIMED_WAIT_S", "UNTIMED_WAIT_S", "FairQueue"]
--- a/src/balsamstream/flows/front.py
+++ b/src/balsamstream/flows/front.py
@@ -162,9 +162,8 @@
             self._refuse(packet, flow, "no route")
             return
         service = route.choose_service(flow)
-        copy = packets.get_ack(packet)
-        elapsed_s = COPY_AGES_S[min(copy, len(COPY_AGES_S) - 1)] + now - arrived_at
-        if copy == 0:
+        elapsed_s = _get_copy_age(packet) + now - arrived_at
+        if packets.get_ack(packet) == 0:
             # The caller may have reused its port; discard what its earlier flow left.
             self._declined_by.remove(flow)
         elif host is not None and host.service == service and host.is_alive(now):
@@ -189,10 +188,22 @@
     def _send_open(
         self, packet: bytes, host: Host, service: str, route: Route, elapsed_s: float
     ) -> None:
+        service_tag = compute_service_tag(service)
+        priority = min(max(route.priority, 0), LOWEST_PRIORITY)
         if self._policy.by_deadline and host.protocol >= TIMED_PROTOCOL:
-            header = _build_timed_open_header(packet, service, route, elapsed_s)
+            objective_ms = clamp_ms(route.objective_s - elapsed_s)
+            deadline_ms = clamp_ms(route.deadline_s - elapsed_s)
+            route_tag = compute_route_tag(packets.get_route(packet))
+            header = TIMED_OPEN_HEADER.pack(
+                Kind.TIMED_OPEN,
+                service_tag,
+                priority,
+                route_tag,
+                objective_ms,
+                deadline_ms,
+            )
         else:
-            header = _build_open_header(service, route)
+            header = OPEN_HEADER.pack(Kind.OPEN, service_tag, priority)
         self._transport.send_to_gate(host.address, header + packet)
 
     def _can_decide(self, packet: bytes) -> bool:
@@ -433,22 +444,9 @@
 _FORWARD: Final = bytes((Kind.FORWARD,))
 
 
-def _build_open_header(service: str, route: Route) -> bytes:
-    priority = min(max(route.priority, 0), LOWEST_PRIORITY)
-    return OPEN_HEADER.pack(Kind.OPEN, compute_service_tag(service), priority)
-
-
-def _build_timed_open_header(
-    packet: bytes, service: str, route: Route, elapsed_s: float
-) -> bytes:
-    return TIMED_OPEN_HEADER.pack(
-        Kind.TIMED_OPEN,
-        compute_service_tag(service),
-        min(max(route.priority, 0), LOWEST_PRIORITY),
-        compute_route_tag(packets.get_route(packet)),
-        clamp_ms(route.objective_s - elapsed_s),
-        clamp_ms(route.deadline_s - elapsed_s),
-    )
+def _get_copy_age(packet: bytes) -> float:
+    """Return the age of a caller's attempt when it sent an opening packet, seconds."""
+    return COPY_AGES_S[min(packets.get_ack(packet), len(COPY_AGES_S) - 1)]
 
 
 def _compute_elapsed(message: bytes, packet: bytes, route: Route, reason: str) -> float:
@@ -460,8 +458,7 @@
     if message[0] == Kind.TIMED_DECLINED:
         left_ms: int = TIMED_DECLINED_HEADER.unpack_from(message)[-1]
         return max(0.0, (clamp_ms(route.deadline_s) - left_ms) / MS_PER_S)
-    copy_age_s = COPY_AGES_S[min(packets.get_ack(packet), len(COPY_AGES_S) - 1)]
-    return copy_age_s + (MAX_WAIT_S if reason == "busy" else 0.0)
+    return _get_copy_age(packet) + (MAX_WAIT_S if reason == "busy" else 0.0)
 
 
 def _describe_reason(reason: int) -> str:
--- a/src/balsamstream/flows/gate.py
+++ b/src/balsamstream/flows/gate.py
@@ -303,14 +303,13 @@
             self._events.count("messages.unreadable")
             return
         header = TIMED_OPEN_HEADER.unpack_from(message)
-        _, service_tag, priority, route_tag, objective_ms, deadline_ms = header
+        _, service_tag, priority, _, objective_ms, deadline_ms = header
         opening = Opening(
             packets.get_flow(packet),
             packet,
             sender,
             priority,
             now,
-            route_tag=route_tag,
             objective_at=now + objective_ms / MS_PER_S,
             deadline_at=now + deadline_ms / MS_PER_S,
         )
--- a/src/balsamstream/flows/waiting_queue.py
+++ b/src/balsamstream/flows/waiting_queue.py
@@ -46,8 +46,6 @@
         Priority of the route; 0 is the most urgent.
     arrived_at : float
         Time of arrival at the gate, in seconds.
-    route_tag : int
-        Tag of the route, 0 if the front has not stated it.
     objective_at, deadline_at : float
         Times at which the route's objective and its deadline are over, in seconds;
         infinity if the front has not stated them.
@@ -58,7 +56,6 @@
     front: str
     priority: int
     arrived_at: float
-    route_tag: int = 0
     objective_at: float = math.inf
     deadline_at: float = math.inf
 
--- a/tests/flows/test_fair_queue.py
+++ b/tests/flows/test_fair_queue.py
@@ -47,7 +47,6 @@
         front,
         priority,
         at,
-        route_tag=1,
         objective_at=at + objective_s,
         deadline_at=at + deadline_s,
     )
--- a/tests/flows/test_outlier_replays.py
+++ b/tests/flows/test_outlier_replays.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from balsamstream.flows.deviations import find_deviations
 from balsamstream.flows.messages import RouteReport
-from balsamstream.flows.outliers import find_deviations
 from balsamstream.flows.placement import Host
 
 from .outlier_replay import (
--- a/tests/flows/test_outliers.py
+++ b/tests/flows/test_outliers.py
@@ -8,6 +8,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from balsamstream.flows.deviations import (
+    MIN_ANSWERS,
+    compute_peer_median,
+    find_deviations,
+)
 from balsamstream.flows.heartbeat import HostState
 from balsamstream.flows.messages import RouteReport
 from balsamstream.flows.outliers import (
@@ -15,14 +20,11 @@
     EVALUATION_INTERVAL_S,
     EVIDENCE_TIMEOUT_S,
     MAX_EJECTION_S,
-    MIN_ANSWERS,
     PROBE_INTERVAL_S,
     QUARTER_S,
     REPORT_ROUND_S,
     OutlierDetector,
     Use,
-    compute_peer_median,
-    find_deviations,
 )
 from balsamstream.flows.placement import Host, choose_host
 
