Correct a node's entry in one place, make calls of several tasks one after the other

Cause: the mark of an entry had its own replacing loop beside _correct_entry, and three flags for what the entry is to say. It runs as a task beside the task that joins, on one client that makes one call at a time: a second request on the connection took the place of the first one's future, so a response could go to another call. The protocol of fronts stood in a set beside the roster of fronts, with a rule of its own to forget them. Change: update_host repeats _correct_entry, also after a restore of the store; a task waits for changes of the host; HttpClient makes calls one after the other; the roster holds the protocols.

--- a/src/balsamstream/flows/reporter.py
+++ b/src/balsamstream/flows/reporter.py
@@ -84,7 +84,6 @@
         self._incarnation = incarnation
         self._sequence = 0
         self._known = FrontRoster()
-        self._timed_fronts: set[str] = set()
         self._chosen: frozenset[str] = frozenset()
         self._announcements_left = 0
         self._load_due = now
@@ -119,12 +118,8 @@
                 self._events.emit("front_lost", front=sender, reason="leaving")
             self._known.remove(sender)
             return
-        if self._known.record_heard(sender, hello.data_centre, now):
+        if self._known.record_heard(sender, hello.data_centre, now, hello.protocol):
             self._events.emit("front_found", front=sender, version=hello.version)
-        if hello.protocol >= TIMED_PROTOCOL:
-            self._timed_fronts.add(sender)
-        else:
-            self._timed_fronts.discard(sender)
         for name in hello.names:
             self._add_name(name, now)
         self.send_report([sender], now)
@@ -162,7 +157,6 @@
         for ip in self._known.remove_silent(FRONT_TIMEOUT_S, now):
             self._events.emit("front_lost", front=ip, reason="silent")
         self._known.remove_expired(now)
-        self._timed_fronts &= self._known.heard_at.keys()
         self._chosen = frozenset(self._choose_fronts())
         silent = [ip for ip in self._chosen if ip not in self._known.heard_at]
         self.send_report(silent, now)
@@ -215,7 +209,8 @@
         load = LOAD_MESSAGE.pack(Kind.LOAD, *values)
         timed = TIMED_LOAD_MESSAGE.pack(Kind.TIMED_LOAD, *values, clamp_ms(wait_s))
         for ip in fronts:
-            self._send(ip, timed if ip in self._timed_fronts else load)
+            is_timed = self._known.protocols[ip] >= TIMED_PROTOCOL
+            self._send(ip, timed if is_timed else load)
 
     def handle_pause(self, gap_s: float, now: float) -> None:
         """Exclude a pause of this process from the silence of fronts."""
--- a/src/balsamstream/flows/roster.py
+++ b/src/balsamstream/flows/roster.py
@@ -182,11 +182,14 @@
         Last signs of the fronts, by address.
     heard_at : dict of str to float
         Time of the last message that this node got from a front, in seconds.
+    protocols : dict of str to int
+        Version of the messages that each front has stated, by address.
     """
 
     data_centres: dict[str, str] = field(default_factory=dict)
     sightings: dict[str, Sighting] = field(default_factory=dict)
     heard_at: dict[str, float] = field(default_factory=dict)
+    protocols: dict[str, int] = field(default_factory=dict)
 
     def add(self, ip: str, data_centre: str, now: float) -> None:
         """Add a front, or set its data centre."""
@@ -194,9 +197,12 @@
         if ip not in self.sightings:
             self.sightings[ip] = Sighting(now)
 
-    def record_heard(self, ip: str, data_centre: str, now: float) -> bool:
+    def record_heard(
+        self, ip: str, data_centre: str, now: float, protocol: int = 1
+    ) -> bool:
         """Record a message of a front; tell whether it was not heard before."""
         self.add(ip, data_centre, now)
+        self.protocols[ip] = protocol
         self.sightings[ip].seen_at = now
         is_new = ip not in self.heard_at
         self.heard_at[ip] = now
@@ -207,6 +213,7 @@
         self.data_centres.pop(ip, None)
         self.sightings.pop(ip, None)
         self.heard_at.pop(ip, None)
+        self.protocols.pop(ip, None)
 
     def remove_expired(self, now: float) -> None:
         """Remove the fronts without a sign for too long."""
--- a/src/balsamstream/http/client.py
+++ b/src/balsamstream/http/client.py
@@ -116,6 +116,8 @@
 class HttpClient:
     """HTTP client of one server that makes one call at a time.
 
+    Calls of several tasks are made one after the other.
+
     Parameters
     ----------
     host : str
@@ -128,6 +130,7 @@
         self._host = host
         self._port = port
         self._connection: _Connection | None = None
+        self._lock = asyncio.Lock()
 
     async def call(
         self,
@@ -147,7 +150,7 @@
         body : bytes
             Body of the request.
         timeout_s : float
-            Time to wait for the response, in seconds.
+            Time to wait for the response once the request is sent, in seconds.
         may_connect : bool
             Whether to open a connection if that of the last call has been lost; one
             that the server ends after each response does not count as lost.
@@ -158,20 +161,22 @@
             If the connection fails, or no valid response arrives within the timeout.
             Whether the server processed the request is then unknown.
         """
-        try:
-            connection = await self._connect(may_connect)
-            head = (
-                f"{method} {path} HTTP/1.1\r\nHost: {self._host}:{self._port}\r\n"
-                f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
-            )
-            pending = connection.send(head.encode() + body)
-            # Unlike wait_for, this never loses a cancellation to a response.
-            async with asyncio.timeout(timeout_s):
-                return await pending
-        except BaseException:
-            # A late response must not be taken for the response of the next call.
-            self.close()
-            raise
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: {self._host}:{self._port}\r\n"
+            f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        # A response belongs to the request before it on its connection.
+        async with self._lock:
+            try:
+                connection = await self._connect(may_connect)
+                pending = connection.send(head.encode() + body)
+                # Unlike wait_for, this never loses a cancellation to a response.
+                async with asyncio.timeout(timeout_s):
+                    return await pending
+            except BaseException:
+                # A late response must not be taken for the response of the next call.
+                self.close()
+                raise
 
     def close(self) -> None:
         """Abort the connection."""
--- a/src/balsamstream/node/discovery.py
+++ b/src/balsamstream/node/discovery.py
@@ -67,6 +67,11 @@
         self._written_at = 0.0
         self._era = 0
 
+    @property
+    def is_without_host(self) -> bool:
+        """Whether this node's entry is to say that its host has left."""
+        return self._node.is_without_host
+
     async def join(self) -> list[NodeEntry]:
         """Write this node's entry, then return the others; retry until both succeed."""
         await self._write_entry()
@@ -90,6 +95,7 @@
         self._era = era
         await asyncio.sleep(random.uniform(0.0, MAX_REJOIN_DELAY_S))
         await self._write_entry()
+        await self._correct_entry()
 
     async def leave(self) -> None:
         """Delete this node's entry, because its VM is being removed."""
@@ -139,16 +145,25 @@
                 self._events.emit("store_lost", kind="nodes", reason=result.reason)
             await wait_before_retry(failures)
 
-    async def _correct_entry(self) -> None:
-        """Replace an entry that an earlier node at this address has left."""
+    async def _correct_entry(self) -> bool:
+        """Replace an entry that says something else of this node; False if that failed.
+
+        An earlier node at this address may have left it, or the host has left since.
+        """
         known = self._own_entry
         if known is None or self._is_own(known):
-            return
+            return True
         content = write_node(self._node)
         result = await self._store.replace(ObjectKind.NODES, known, content)
-        if isinstance(result, Written):
-            self._own_entry = result.current
-        self._events.emit("entry_corrected", result=type(result).__name__)
+        match result:
+            case Written() | Conflict():
+                self._own_entry = result.current
+        self._events.emit(
+            "entry_corrected",
+            result=type(result).__name__,
+            is_without_host=self._node.is_without_host,
+        )
+        return isinstance(result, Written)
 
     async def update_host(self, *, is_without_host: bool) -> None:
         """Mark this node's entry while its host has left; retry until it is written.
@@ -157,23 +172,9 @@
         """
         self._node = replace(self._node, is_without_host=is_without_host)
         failures = 0
-        while self._own_entry is not None and not self._is_own(self._own_entry):
-            result = await self._store.replace(
-                ObjectKind.NODES, self._own_entry, write_node(self._node)
-            )
-            match result:
-                case Written():
-                    self._own_entry = result.current
-                case Conflict():
-                    self._own_entry = result.current
-                    failures += 1
-                    await wait_before_retry(failures)
-                case Unavailable():
-                    failures += 1
-                    await wait_before_retry(failures)
-        self._events.emit(
-            "entry_marked", is_without_host=is_without_host, failures=failures
-        )
+        while not await self._correct_entry():
+            failures += 1
+            await wait_before_retry(failures)
 
     async def _read_entries(self) -> list[NodeEntry]:
         """Read all entries; a gate needs only some fronts, so they may be stale."""
--- a/src/balsamstream/node/gate.py
+++ b/src/balsamstream/node/gate.py
@@ -45,8 +45,7 @@
             now=asyncio.get_running_loop().time(),
         )
         self._host_found = asyncio.Event()
-        self._is_marked = False
-        self._is_marking = False
+        self._host_changed = asyncio.Event()
         self._host_address = split_address(host.address)
         self._callers_port = split_address(settings.callers)[1]
         self._host_socket = DatagramSocket(
@@ -62,10 +61,11 @@
         await super().start()
         self._host_socket.start()
         self.start_task("host_check", self._check_host)
+        self.start_task("update_entry", self._update_entry)
 
     async def close(self) -> None:
         """Stop the tasks and close all sockets."""
-        for name in ("host_check", "mark_entry"):
+        for name in ("host_check", "update_entry"):
             await self.kernel.end_task(name)
         self._host_socket.close()
         await super().close()
@@ -76,7 +76,7 @@
         self._gate.leave(asyncio.get_running_loop().time(), has_host=has_host)
         await asyncio.sleep(STOP_DELAY_S)
         if self._gate.state is HostState.GONE:
-            await self.kernel.end_task("mark_entry")
+            await self.kernel.end_task("update_entry")
             async with asyncio.timeout(DELETE_TIMEOUT_S):
                 await self.discovery.leave()
 
@@ -174,7 +174,7 @@
                 return self._handle_heartbeat(host, request.body, now)
             case "DELETE":
                 self._gate.handle_leave(host, now)
-                self._mark_entry()
+                self._detect_host_change()
                 return Response(200)
         return Response(404)
 
@@ -187,27 +187,21 @@
         self._gate.handle_heartbeat(heartbeat, now)
         if self._gate.state is not HostState.UNKNOWN:
             self._host_found.set()
-        self._mark_entry()
+        self._detect_host_change()
         return Response(200)
 
-    def _mark_entry(self) -> None:
-        """Let this node's entry say whether the host has left."""
+    def _detect_host_change(self) -> None:
         is_without_host = self._gate.state is HostState.GONE
-        if is_without_host == self._is_marked:
-            return
-        self._is_marked = is_without_host
-        if not self._is_marking:
-            self._is_marking = True
-            self.start_task("mark_entry", self._update_entry)
+        if is_without_host != self.discovery.is_without_host:
+            self._host_changed.set()
 
     async def _update_entry(self) -> None:
-        """Write the mark, again if the host has left or returned meanwhile."""
+        """Let this node's entry say whether the host has left, at each change."""
         while True:
-            is_marked = self._is_marked
-            await self.discovery.update_host(is_without_host=is_marked)
-            if is_marked == self._is_marked:
-                self._is_marking = False
-                return
+            await self._host_changed.wait()
+            self._host_changed.clear()
+            is_without_host = self._gate.state is HostState.GONE
+            await self.discovery.update_host(is_without_host=is_without_host)
 
 
 __all__ = ["GateService"]
--- a/tests/node/test_http_client.py
+++ b/tests/node/test_http_client.py
@@ -87,3 +87,30 @@
             return await call_again(client)
 
     assert asyncio.run(run()) == b"ok"
+
+
+def test_calls_at_the_same_time_get_their_own_responses() -> None:
+    """Guards against a response that is taken for that of another task's call."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                await asyncio.sleep(0.02)
+                path = head.split()[1]
+                size = b"%d" % len(path)
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: " + size + b"\r\n\r\n" + path
+                )
+
+    async def run() -> list[bytes]:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        client = HttpClient("127.0.0.1", server.sockets[0].getsockname()[1])
+        await client.call("GET", "/first", timeout_s=TIMEOUT_S)
+        paths = [f"/call-{number}" for number in range(4)]
+        calls = [client.call("GET", path, timeout_s=TIMEOUT_S) for path in paths]
+        responses = await asyncio.gather(*calls)
+        client.close()
+        server.close()
+        return [response.body for response in responses]
+
+    assert asyncio.run(run()) == [b"/call-%d" % number for number in range(4)]
