--- a/src/balsamstream/flows/front.py
+++ b/src/balsamstream/flows/front.py
@@ -17,21 +17,10 @@
 from .heartbeat import HostState
 from .hints import Hints
 from .load_policy import DEFAULT_POLICY, LoadPolicy
-from .messages import (
-    MS_PER_S,
-    OPEN_HEADER,
-    TIMED_DECLINED_HEADER,
-    TIMED_OPEN_HEADER,
-    TIMED_PROTOCOL,
-    DeclineReason,
-    Kind,
-    clamp_ms,
-    compute_route_tag,
-    compute_service_tag,
-)
+from .messages import TIMED_PROTOCOL, Kind, compute_route_tag
+from .opening_messages import decode_decline, encode_open, get_copy_age
 from .searches import Searches
 from .startup_buffer import StartupBuffer
-from .waiting_queue import MAX_WAIT_S
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -44,9 +33,6 @@
 """Hosts that may decline a flow before it is refused."""
 DECLINE_BACKOFF_S: Final = 0.1
 """Time for which a host that has declined a flow is a last resort."""
-LOWEST_PRIORITY: Final = 255
-COPY_AGES_S: Final = (0.0, 0.2, 0.6)
-"""Age of a caller's attempt when it sends the opening packet and its copies."""
 ATTEMPT_S: Final = 1.4
 """Age at which a caller gives up an attempt."""
 SILENCE_S: Final = 0.15
@@ -162,7 +148,7 @@
             self._refuse(packet, flow, "no route")
             return
         service = route.choose_service(flow)
-        elapsed_s = _get_copy_age(packet) + now - arrived_at
+        elapsed_s = get_copy_age(packet) + now - arrived_at
         if packets.get_ack(packet) == 0:
             # The caller may have reused its port; discard what its earlier flow left.
             self._declined_by.remove(flow)
@@ -188,23 +174,9 @@
     def _send_open(
         self, packet: bytes, host: Host, service: str, route: Route, elapsed_s: float
     ) -> None:
-        service_tag = compute_service_tag(service)
-        priority = min(max(route.priority, 0), LOWEST_PRIORITY)
-        if self._policy.by_deadline and host.protocol >= TIMED_PROTOCOL:
-            objective_ms = clamp_ms(route.objective_s - elapsed_s)
-            deadline_ms = clamp_ms(route.deadline_s - elapsed_s)
-            route_tag = compute_route_tag(packets.get_route(packet))
-            header = TIMED_OPEN_HEADER.pack(
-                Kind.TIMED_OPEN,
-                service_tag,
-                priority,
-                route_tag,
-                objective_ms,
-                deadline_ms,
-            )
-        else:
-            header = OPEN_HEADER.pack(Kind.OPEN, service_tag, priority)
-        self._transport.send_to_gate(host.address, header + packet)
+        is_timed = self._policy.by_deadline and host.protocol >= TIMED_PROTOCOL
+        message = encode_open(packet, service, route, elapsed_s, is_timed=is_timed)
+        self._transport.send_to_gate(host.address, message)
 
     def _can_decide(self, packet: bytes) -> bool:
         """Return whether the front knows enough to place or refuse a packet."""
@@ -337,11 +309,8 @@
         match message[0]:
             case Kind.LOAD | Kind.TIMED_LOAD:
                 self.fleet.handle_load(message, sender, now)
-            case Kind.DECLINED:
-                self._handle_declined(message, message[2:], sender, now)
-            case Kind.TIMED_DECLINED:
-                packet = message[TIMED_DECLINED_HEADER.size :]
-                self._handle_declined(message, packet, sender, now)
+            case Kind.DECLINED | Kind.TIMED_DECLINED:
+                self._handle_declined(message, sender, now)
             case Kind.STRAY:
                 self._handle_stray(message[1:], sender, now)
             case Kind.HELD:
@@ -353,14 +322,13 @@
             case _:
                 self._events.count("messages.unknown")
 
-    def _handle_declined(
-        self, message: bytes, packet: bytes, sender: str, now: float
-    ) -> None:
-        if not packets.is_packet(packet):
+    def _handle_declined(self, message: bytes, sender: str, now: float) -> None:
+        decline = decode_decline(message)
+        if decline is None:
             self._events.count("messages.unreadable")
             return
+        packet, reason = decline.packet, decline.reason
         flow = packets.get_flow(packet)
-        reason = _describe_reason(message[1])
         host = self._hints.get(flow)
         if host is None or host.ip != sender:
             self._events.count("declines.outdated")
@@ -388,7 +356,7 @@
             # the caller's attempt and take a slot for an abandoned request.
             self._refuse(packet, flow, "busy")
             return
-        elapsed_s = _compute_elapsed(message, packet, route, reason)
+        elapsed_s = decline.compute_elapsed(route)
         self._place(packet, flow, route, elapsed_s, now, reason)
 
     def _handle_stray(self, packet: bytes, sender: str, now: float) -> None:
@@ -443,29 +411,4 @@
 
 _FORWARD: Final = bytes((Kind.FORWARD,))
 
-
-def _get_copy_age(packet: bytes) -> float:
-    """Return the age of a caller's attempt when it sent an opening packet, seconds."""
-    return COPY_AGES_S[min(packets.get_ack(packet), len(COPY_AGES_S) - 1)]
-
-
-def _compute_elapsed(message: bytes, packet: bytes, route: Route, reason: str) -> float:
-    """Return the age of a caller's attempt when a gate has declined it, in seconds.
-
-    A gate that was sent no deadline does not state the time left. It declines at once
-    unless it is busy.
-    """
-    if message[0] == Kind.TIMED_DECLINED:
-        left_ms: int = TIMED_DECLINED_HEADER.unpack_from(message)[-1]
-        return max(0.0, (clamp_ms(route.deadline_s) - left_ms) / MS_PER_S)
-    return _get_copy_age(packet) + (MAX_WAIT_S if reason == "busy" else 0.0)
-
-
-def _describe_reason(reason: int) -> str:
-    try:
-        return DeclineReason(reason).name.lower()
-    except ValueError:
-        return str(reason)
-
-
 __all__ = ["Front", "FrontTransport"]
--- a/src/balsamstream/flows/gate.py
+++ b/src/balsamstream/flows/gate.py
@@ -23,11 +23,7 @@
 from .host_record import HeartbeatOutcome, HostRecord
 from .load_policy import DEFAULT_POLICY, LoadPolicy
 from .messages import (
-    MS_PER_S,
-    OPEN_HEADER,
     PROTOCOL,
-    TIMED_DECLINED_HEADER,
-    TIMED_OPEN_HEADER,
     DeclineReason,
     Hello,
     Kind,
@@ -39,6 +35,7 @@
     encode_relayed_search,
 )
 from .older_flows import OlderFlows
+from .opening_messages import decode_open, encode_decline
 from .reporter import Reporter
 from .search_replies import SearchReplies
 from .waiting_queue import Opening, OpeningQueue, WaitingQueue
@@ -201,9 +198,7 @@
         if self.state is not before:
             self._handle_state_change("host left", now)
 
-    def _start_incarnation(
-        self, heartbeat: Heartbeat, before: int, now: float
-    ) -> None:
+    def _start_incarnation(self, heartbeat: Heartbeat, before: int, now: float) -> None:
         if before:
             self._handle_host_end(now)
         # A host that has just started holds no flow that this gate has not seen.
@@ -261,10 +256,8 @@
 
     def _handle_by_kind(self, message: bytes, sender: str, now: float) -> None:
         match message[0]:
-            case Kind.OPEN:
+            case Kind.OPEN | Kind.TIMED_OPEN:
                 self._handle_open(message, sender, now)
-            case Kind.TIMED_OPEN:
-                self._handle_timed_open(message, sender, now)
             case Kind.RELAYED_SEARCH:
                 self._handle_relayed_search(message, now)
             case Kind.SEARCH:
@@ -293,34 +286,15 @@
     # Opening packets.
 
     def _handle_open(self, message: bytes, sender: str, now: float) -> None:
-        packet = message[OPEN_HEADER.size :]
-        if not packets.is_packet(packet):
+        received = decode_open(message, sender, now)
+        if received is None:
             self._events.count("messages.unreadable")
             return
-        _, service_tag, priority = OPEN_HEADER.unpack_from(message)
-        flow = packets.get_flow(packet)
-        opening = Opening(flow, packet, sender, priority, now)
-        self._handle_opening(opening, service_tag, now)
-
-    def _handle_timed_open(self, message: bytes, sender: str, now: float) -> None:
-        packet = message[TIMED_OPEN_HEADER.size :]
-        if not packets.is_packet(packet):
-            self._events.count("messages.unreadable")
-            return
-        header = TIMED_OPEN_HEADER.unpack_from(message)
-        _, service_tag, priority, _, objective_ms, deadline_ms = header
-        opening = Opening(
-            packets.get_flow(packet),
-            packet,
-            sender,
-            priority,
-            now,
-            objective_at=now + objective_ms / MS_PER_S,
-            deadline_at=now + deadline_ms / MS_PER_S,
-        )
-        if self._answers is not None:
-            self._answers.learn_objective(opening.flow, objective_ms / MS_PER_S, now)
-        self._handle_opening(opening, service_tag, now)
+        opening = received.opening
+        if self._answers is not None and opening.objective_at != math.inf:
+            left_s = opening.objective_at - now
+            self._answers.learn_objective(opening.flow, left_s, now)
+        self._handle_opening(opening, received.service_tag, now)
 
     def _handle_opening(self, opening: Opening, service_tag: int, now: float) -> None:
         flow, packet, sender = opening.flow, opening.packet, opening.front
@@ -371,8 +345,8 @@
             heartbeat_age_s=round(self._host.get_heartbeat_age_s(now), 3),
             evacuations=self._admission.evacuations.latest.revision,
         )
-        header = _build_declined_header(opening, reason, now)
-        self._transport.send_to_node(opening.front, header + opening.packet)
+        message = encode_decline(opening, reason, now)
+        self._transport.send_to_node(opening.front, message)
 
     # Later packets.
 
@@ -605,19 +579,6 @@
         self._flows.expire(self._admission.idle_s, now)
 
 
-def _build_declined_header(
-    opening: Opening, reason: DeclineReason, now: float
-) -> bytes:
-    """Build the header of a decline, with the time that is left if it was stated."""
-    if opening.deadline_at == math.inf:
-        return bytes((Kind.DECLINED, reason))
-    objective_ms = clamp_ms(opening.objective_at - now)
-    deadline_ms = clamp_ms(opening.deadline_at - now)
-    return TIMED_DECLINED_HEADER.pack(
-        Kind.TIMED_DECLINED, reason, objective_ms, deadline_ms
-    )
-
-
 _FORWARD: Final = int(Kind.FORWARD)
 """Most messages are of this kind, and access to an enumeration member is slower."""
 
