--- a/tests/flows/test_search.py
+++ b/tests/flows/test_search.py
@@ -11,7 +11,7 @@
 from balsamstream.flows.search import MAX_RELAY_TARGETS, plan_relays
 from standins.flow_host import RST, FlowHost
 
-from .deployment import HEARTBEAT_S, Caller, Deployment, GateNode
+from .deployment import HEARTBEAT_S, Caller, Deployment, FrontNode, GateNode
 
 DATA_CENTRES = ("medina", "sakiet", "thyna")
 GATES = 35
@@ -135,6 +135,27 @@
     gate.send_heartbeat()
 
 
+def get_other_gate(deployment: Deployment, holder: GateNode) -> GateNode:
+    """Return a gate other than the holder of a flow."""
+    return next(gate for gate in deployment.gates.values() if gate is not holder)
+
+
+def restart_without_host(gate: GateNode) -> None:
+    """Start the process of a gate again, with no host beside it."""
+    gate.restart()
+    gate.has_host = gate.sends_heartbeats = False
+
+
+def restart_front(deployment: Deployment, *, without_host: GateNode) -> FrontNode:
+    """Start the second front again; an entry says that a gate has no host."""
+    node = deployment.fronts["10.1.0.2"]
+    node.start()
+    node.front.fleet.add_listed_nodes(
+        deployment.list_names(), deployment.now, {without_host.ip}
+    )
+    return node
+
+
 def is_last_packet_reset(deployment: Deployment) -> bool:
     """Return whether the last packet to a caller is a reset."""
     return any(packet.flags & RST for packet, _ in deployment.to_callers[-1:])
@@ -240,7 +261,7 @@
         gate.host = FlowHost(9_000)
         gate.incarnation = 2
         gate.restart()
-    empty = next(gate for gate in deployment.gates.values() if gate is not holder)
+    empty = get_other_gate(deployment, holder)
     empty.has_host = empty.sends_heartbeats = False
     node = deployment.fronts["10.1.0.2"]
     node.start()
@@ -259,8 +280,7 @@
     deployment = build_deployment()
     caller = open_flow(deployment)
     holder = caller.get_holder()
-    holder.restart()
-    holder.has_host = holder.sends_heartbeats = False
+    restart_without_host(holder)
     deployment.pass_time(HEARTBEATS_TO_ABSENCE * HEARTBEAT_S - 0.5)
     caller.send_request("10.1.0.2", b"early")
     deployment.pass_time(0.3)
@@ -276,8 +296,7 @@
     deployment = build_deployment()
     caller = open_flow(deployment)
     holder = caller.get_holder()
-    holder.restart()
-    holder.has_host = holder.sends_heartbeats = False
+    restart_without_host(holder)
     assert caller.send_request("10.1.0.2", b"early") == []
     holder.host = FlowHost(9_000)
     holder.incarnation = 2
@@ -291,8 +310,7 @@
     deployment = build_deployment()
     caller = open_flow(deployment)
     holder = caller.get_holder()
-    holder.restart()
-    holder.has_host = holder.sends_heartbeats = False
+    restart_without_host(holder)
     assert caller.send_request("10.1.0.2", b"early") == []
     holder.gate.record_first_start()
     deployment.run()
@@ -304,9 +322,8 @@
     deployment = build_deployment()
     caller = open_flow(deployment)
     holder = caller.get_holder()
-    empty = next(gate for gate in deployment.gates.values() if gate is not holder)
-    empty.restart()
-    empty.has_host = empty.sends_heartbeats = False
+    empty = get_other_gate(deployment, holder)
+    restart_without_host(empty)
     empty.gate.record_first_start()
     deployment.pass_time(1.0)
     empty.is_up = False
@@ -333,8 +350,7 @@
     deployment = build_deployment()
     caller = open_flow(deployment)
     holder = caller.get_holder()
-    holder.restart()
-    holder.has_host = holder.sends_heartbeats = False
+    restart_without_host(holder)
     assert caller.send_request("10.1.0.2", b"early") == []
     holder.gate.record_refused_check(deployment.now)
     deployment.run()
@@ -358,9 +374,8 @@
     deployment = build_deployment()
     caller = open_flow(deployment)
     holder = caller.get_holder()
-    empty = next(gate for gate in deployment.gates.values() if gate is not holder)
-    empty.restart()
-    empty.has_host = empty.sends_heartbeats = False
+    empty = get_other_gate(deployment, holder)
+    restart_without_host(empty)
     empty.gate.record_refused_check(deployment.now)
     deployment.pass_time(1.0)
     empty.gate.leave(deployment.now)
@@ -412,14 +427,10 @@
     deployment = build_deployment()
     caller = open_flow(deployment)
     holder = caller.get_holder()
-    left = next(gate for gate in deployment.gates.values() if gate is not holder)
+    left = get_other_gate(deployment, holder)
     left.is_up = False
     restart_host(holder)
-    node = deployment.fronts["10.1.0.2"]
-    node.start()
-    node.front.fleet.add_listed_nodes(
-        deployment.list_names(), deployment.now, {left.ip}
-    )
+    restart_front(deployment, without_host=left)
     deployment.run()
     caller.send_request("10.1.0.2")
     assert is_last_packet_reset(deployment)
@@ -444,15 +455,11 @@
     deployment = build_deployment()
     caller = open_flow(deployment)
     holder = caller.get_holder()
-    left = next(gate for gate in deployment.gates.values() if gate is not holder)
+    left = get_other_gate(deployment, holder)
     left.restart()
     left.sends_heartbeats = False
     restart_host(holder)
-    node = deployment.fronts["10.1.0.2"]
-    node.start()
-    node.front.fleet.add_listed_nodes(
-        deployment.list_names(), deployment.now, {left.ip}
-    )
+    restart_front(deployment, without_host=left)
     deployment.pass_time(0.6)
     left.is_up = False
     caller.send_request("10.1.0.2")
@@ -478,11 +485,7 @@
     holder = next(iter(deployment.gates.values()))
     holder.restart()
     holder.sends_heartbeats = False
-    node = deployment.fronts["10.1.0.2"]
-    node.start()
-    node.front.fleet.add_listed_nodes(
-        deployment.list_names(), deployment.now, {holder.ip}
-    )
+    node = restart_front(deployment, without_host=holder)
     deployment.pass_time(0.6)
     assert node.front.fleet.find_host(holder.ip).is_marked_left
     holder.send_heartbeat()
