Repeat the first reads of a starting front sooner, ask other fronts at once

Ruled out: a short delay for every call, which a slow store would answer several times.

Change: a call that callers wait for (first list of a watcher, a front's entry and list of nodes) is repeated after 0.1 s, then after half of its age, 0.6 s at most; the oldest attempt is aborted beyond six. A front without a desired state fetches it from another without the delay. An attempt that fails at once is no longer followed by the next one in a loop while an earlier one hangs.

--- a/src/balsamstream/node/discovery.py
+++ b/src/balsamstream/node/discovery.py
@@ -61,6 +61,8 @@
         self._node = node
         self._events = events
         self._entry_name = node.ip.replace(".", "-")
+        # A front resets no lost flow before it has read which gates there are.
+        self._is_urgent = node.role == "front"
         self._own_entry: StoredObject | None = None
         self._is_written = False
         self.is_first_here = False
@@ -127,7 +129,10 @@
         content = write_node(self._node)
         while True:
             result = await self._store.create(
-                ObjectKind.NODES, self._entry_name, content
+                ObjectKind.NODES,
+                self._entry_name,
+                content,
+                is_urgent=self._is_urgent,
             )
             if not isinstance(result, Unavailable):
                 self._is_written = True
@@ -181,7 +186,9 @@
         failures = 0
         while True:
             result = await self._store.list(
-                ObjectKind.NODES, may_be_stale=self._node.role == "gate"
+                ObjectKind.NODES,
+                may_be_stale=not self._is_urgent,
+                is_urgent=self._is_urgent,
             )
             if isinstance(result, Listing):
                 return self._decode_entries(result)
--- a/src/balsamstream/node/front.py
+++ b/src/balsamstream/node/front.py
@@ -30,7 +30,8 @@
 DESIRED_PATH: Final = "/desired"
 FETCH_TIMEOUT_S: Final = 2.0
 FETCH_DELAY_S: Final = 0.3
-"""Time that the store has to deliver a version before a front is asked for it."""
+"""Time that the store has to deliver a version before a front is asked for it. A front
+that has no version yet asks at once, as callers wait for it."""
 LEAVE_DELAY_S: Final = 1.7
 """Routers check readiness twice a second and remove a node after two failures."""
 
@@ -158,9 +159,10 @@
     async def _fetch(self, ip: str, version: int) -> None:
         client = HttpClient(ip, self.settings.node_port)
         try:
-            await asyncio.sleep(FETCH_DELAY_S)
             desired = self._front.fleet.desired
-            if desired is not None and desired.version >= version:
+            if desired is not None:
+                await asyncio.sleep(FETCH_DELAY_S)
+            if self._front.fleet.version >= version:
                 return
             response = await client.call("GET", DESIRED_PATH, timeout_s=FETCH_TIMEOUT_S)
             self._apply_desired_state(response.body, f"front {ip}")
--- a/src/balsamstream/node/store_watcher.py
+++ b/src/balsamstream/node/store_watcher.py
@@ -79,7 +79,9 @@
             self._store.close()
 
     async def _list(self) -> bool:
-        match await self._store.list(self._kind):
+        # A node that knows nothing yet cannot serve its callers.
+        is_first = self._position == StorePosition()
+        match await self._store.list(self._kind, is_urgent=is_first):
             case Listing(position, objects):
                 self._handle_success()
                 if position < self._position:
--- a/src/balsamstream/platform/store.py
+++ b/src/balsamstream/platform/store.py
@@ -193,6 +193,7 @@
 _LIST_DECODER: Final = msgspec.json.Decoder(_List)
 _EVENTS_DECODER: Final = msgspec.json.Decoder(_Events)
 _OBJECT_DECODER: Final = msgspec.json.Decoder(_Object)
+_NO_OBJECT: Final = Conflict()
 
 
 class StoreClient:
@@ -213,7 +214,9 @@
         self._client.close()
         self._hedged_client.close()
 
-    async def list(self, kind: ObjectKind, *, may_be_stale: bool = False) -> ListResult:
+    async def list(
+        self, kind: ObjectKind, *, may_be_stale: bool = False, is_urgent: bool = False
+    ) -> ListResult:
         """Read all objects of a kind, page by page.
 
         Parameters
@@ -222,6 +225,8 @@
             Kind of the objects.
         may_be_stale : bool
             Whether a state that is some seconds old will do, which is cheaper.
+        is_urgent : bool
+            Whether callers wait for the result; see `HedgedClient.call`.
         """
         found: list[StoredObject] = []
         after = ""
@@ -229,7 +234,9 @@
             options = [f"after={after}"] if after else []
             options += [STALE_OPTION] if may_be_stale else []
             path = f"{OBJECTS_PATH}/{kind.value}?{'&'.join(options)}".rstrip("?")
-            call = self._hedged_client.call("GET", path, timeout_s=CALL_TIMEOUT_S)
+            call = self._hedged_client.call(
+                "GET", path, timeout_s=CALL_TIMEOUT_S, is_urgent=is_urgent
+            )
             response = await _receive(call)
             if isinstance(response, Unavailable):
                 return response
@@ -276,15 +283,24 @@
         objects = tuple(each for each in read if each is not None)
         return Changes(StorePosition(era, page.as_of), objects)
 
-    async def create(self, kind: ObjectKind, name: str, content: bytes) -> WriteResult:
+    async def create(
+        self, kind: ObjectKind, name: str, content: bytes, *, is_urgent: bool = False
+    ) -> WriteResult:
         """Create an object; return `Conflict` if it already exists.
 
         The call is repeated in parallel if no response arrives, as creating an object
-        twice does nothing; `Conflict` may then come from the first attempt.
+        twice does nothing; `Conflict` may then come from the first attempt. It is
+        repeated sooner if it is urgent.
         """
         body = b'{"meta":{"name":"%s"},"spec":%s}' % (name.encode(), content)
-        path = f"{OBJECTS_PATH}/{kind.value}"
-        return await self._write("POST", path, body, self._hedged_client)
+        call = self._hedged_client.call(
+            "POST",
+            f"{OBJECTS_PATH}/{kind.value}",
+            body,
+            timeout_s=CALL_TIMEOUT_S,
+            is_urgent=is_urgent,
+        )
+        return await _receive_write(call)
 
     async def replace(
         self, kind: ObjectKind, known: StoredObject, content: bytes
@@ -292,35 +308,15 @@
         """Replace an object; return `Conflict` if it has changed since it was read."""
         meta = b'{"name":"%s","revision":%d}' % (known.name.encode(), known.revision)
         body = b'{"meta":%s,"spec":%s}' % (meta, content)
-        return await self._write(
-            "PUT", f"{OBJECTS_PATH}/{kind.value}/{known.name}", body
-        )
+        path = f"{OBJECTS_PATH}/{kind.value}/{known.name}"
+        call = self._client.call("PUT", path, body, timeout_s=CALL_TIMEOUT_S)
+        return await _receive_write(call)
 
     async def delete(self, kind: ObjectKind, known: StoredObject) -> WriteResult:
         """Delete an object; return `Conflict` if it has changed since it was read."""
         path = f"{OBJECTS_PATH}/{kind.value}/{known.name}?revision={known.revision}"
-        return await self._write("DELETE", path, b"")
-
-    async def _write(
-        self,
-        method: str,
-        path: str,
-        body: bytes,
-        client: HttpClient | HedgedClient | None = None,
-    ) -> WriteResult:
-        client = client or self._client
-        call = client.call(method, path, body, timeout_s=CALL_TIMEOUT_S)
-        response = await _receive(call)
-        match response:
-            case Unavailable():
-                return response
-            case ClientResponse(status=status) if status == _MISSING:
-                return Written() if method == "DELETE" else Conflict()
-        body = msgspec.Raw(response.body)
-        current = _decode_object(body, _read_era(response))
-        if response.status == _CONFLICT:
-            return Conflict(current)
-        return Written(current)
+        call = self._client.call("DELETE", path, timeout_s=CALL_TIMEOUT_S)
+        return await _receive_write(call, if_missing=Written())
 
 
 async def _receive(call: Awaitable[ClientResponse]) -> ClientResponse | Unavailable:
@@ -334,6 +330,19 @@
     return Unavailable(f"status {response.status}")
 
 
+async def _receive_write(
+    call: Awaitable[ClientResponse], if_missing: Written | Conflict = _NO_OBJECT
+) -> WriteResult:
+    """Await a write and return its result, `if_missing` if there is no such object."""
+    response = await _receive(call)
+    if isinstance(response, Unavailable):
+        return response
+    if response.status == _MISSING:
+        return if_missing
+    current = _decode_object(msgspec.Raw(response.body), _read_era(response))
+    return Conflict(current) if response.status == _CONFLICT else Written(current)
+
+
 def _decode_object(
     body: msgspec.Raw, era: int, *, is_deleted: bool = False
 ) -> StoredObject | None:
--- a/tests/node/test_hedge.py
+++ b/tests/node/test_hedge.py
@@ -119,6 +119,47 @@
     assert asyncio.run(run()) <= 4
 
 
+def test_urgent_call_recovers_sooner_and_spares_a_server_that_stays_silent() -> None:
+    """Guards against a start that waits for a store which is back already."""
+
+    async def run() -> tuple[float, int]:
+        server = Server()
+        server.is_silent = True
+        client = HedgedClient("127.0.0.1", await server.start(), hedge_s=5.0)
+        call = client.call("GET", "/", timeout_s=5.0, is_urgent=True)
+        task = asyncio.create_task(call)
+        await asyncio.sleep(2.0)
+        server.is_silent = False
+        calls_before = server.calls
+        recovered_at = time.monotonic()
+        assert (await task).body == b"ok"
+        server.close()
+        return time.monotonic() - recovered_at, calls_before
+
+    took_s, calls = asyncio.run(run())
+    # The next attempt is due after half of the call's age.
+    assert took_s < 1.2
+    assert calls <= 9
+
+
+def test_attempts_that_fail_at_once_are_not_repeated_in_a_loop() -> None:
+    """Guards against one call a round trip while an earlier attempt hangs."""
+
+    async def run() -> int:
+        server = Server()
+        server.is_silent = True
+        client = HedgedClient("127.0.0.1", await server.start(), HEDGE_S)
+        task = asyncio.create_task(client.call("GET", "/", timeout_s=0.75))
+        await asyncio.sleep(HEDGE_S / 2)
+        server.is_resetting = True
+        with pytest.raises(OSError):
+            await task
+        server.close()
+        return server.calls
+
+    assert asyncio.run(run()) <= 8
+
+
 class AnsweredConnection:
     """Connection whose response has arrived but was not taken yet."""
 
