Put late openings behind those in time of all routes, the youngest attempt first

Of 274 placements that look new 170 are dispatched in time while 150 late openings are dispatched, since each route has its share whether its openings are in time or not. A late opening that one gate declines after its share of the deadline arrives at the next one as the newest and goes first there. From 36.4 on most late openings that are dispatched have no caller any more, and each keeps a slot for 0.1 s.

Change: routes with openings in time go before the others; within a route and data centre the order is by the beginning of the attempt, not by arrival; an opening that its caller does not confirm keeps its slot for the learned time to confirm (RFC 6298) in place of 0.1 s. All openings pass the queue, so what is dispatched at once no longer has a way of its own.

--- a/src/balsamstream/flows/dispatch.py
+++ b/src/balsamstream/flows/dispatch.py
@@ -93,10 +93,13 @@
         if not self._waiting.can_accept(opening, now):
             self._decline(opening, DeclineReason.BUSY, now)
             return
-        if not self._waiting and has_capacity(self._flows.in_flight, self._host.slots):
-            self._waiting.record_dispatch(opening, now)
-            self._dispatch(opening, now)
+        displaced = self._waiting.add(opening)
+        if displaced is not None:
+            self._decline(displaced, DeclineReason.BUSY, now)
+        self.dispatch_waiting(now)
+        if not self.is_waiting(opening.flow):
             return
+        self._flows.is_load_changed = True
         self._events.emit_for_flow(
             "waiting",
             opening.flow,
@@ -105,11 +108,6 @@
             waiting=len(self._waiting),
             service_s=self.get_service_s(opening.flow, now),
         )
-        displaced = self._waiting.add(opening)
-        if displaced is not None:
-            self._decline(displaced, DeclineReason.BUSY, now)
-        self._flows.is_load_changed = True
-        self.dispatch_waiting(now)
         if self._waiting.is_plan_due(now):
             self._decline_hopeless(now)
 
@@ -119,12 +117,14 @@
         Those that have waited for too long are declined first. After a pause of this
         process there may be some although no tick was due.
         """
+        self._flows.expire_unconfirmed(now)
         self._decline_all(self._waiting.pop_expired(now), now)
         while self._waiting and has_capacity(self._flows.in_flight, self._host.slots):
             opening = self._waiting.pop(now)
             if opening is None:
                 return
-            self._events.observe_waiting(now - opening.arrived_at)
+            if now > opening.arrived_at:
+                self._events.observe_waiting(now - opening.arrived_at)
             self._dispatch(opening, now)
 
     def decline_waiting(self, reason: DeclineReason, now: float) -> None:
@@ -163,17 +163,10 @@
         self._send(opening.packet, opening.front)
 
     def _expire_unanswered(self, now: float) -> None:
-        """Decline opening packets that the host has not answered in time.
-
-        Flows that it has answered await the confirmation of their callers from here on.
-        """
+        """Decline opening packets that the host has not answered in time."""
         dispatched = self._dispatched
         while dispatched and now - dispatched[0][0] > SYN_TIMEOUT_S:
-            dispatched_at, opening = dispatched.popleft()
-            entry = self._flows.get(opening.flow)
-            if entry is not None and entry.host_next_seq is not None:
-                self._flows.expect_confirmation(entry, dispatched_at)
-                continue
+            _, opening = dispatched.popleft()
             self._decline_unanswered(opening, now)
 
     def _decline_unanswered(self, opening: Opening, now: float) -> None:
--- a/src/balsamstream/flows/fair_queue.py
+++ b/src/balsamstream/flows/fair_queue.py
@@ -6,11 +6,12 @@
 one caller that sends ten times as much as the others; fronts of an evacuated data
 centre beside local ones.
 
-Order: start-time fair queuing between routes, with the weight halved for each step of
-priority; equal shares for the data centres of the fronts within a route; then openings
-that can still meet the objective; among them callers with the least recent service,
-the newest first. An opening whose turn cannot come before its deadline is handed back
-at once.
+Order: routes with openings that can still meet their objective before the others, as a
+late answer has lost most of its use; between them start-time fair queuing, with the
+weight halved for each step of priority; equal shares for the data centres of the fronts
+within a route; then openings in time before late ones; among them callers with the
+least recent service, and the attempts that began last. An opening whose turn cannot
+come before its deadline is handed back at once.
 """
 
 from __future__ import annotations
@@ -22,11 +23,13 @@
 
 from .caller_record import CallerRecord, compute_level
 from .fair_share import (
+    Party,
     RouteShare,
     SiteShare,
     Waiting,
+    choose_party,
     forget_idle,
-    merge_turns,
+    plan_turns,
 )
 from .waiting_queue import MAX_WAITING
 
@@ -105,7 +108,9 @@
     def add(self, opening: Opening) -> Opening | None:
         """Add an opening packet; return one that it displaces, or None."""
         self._remove(opening.flow)
-        displaced = self._displace() if len(self._sites) >= MAX_WAITING else None
+        displaced = None
+        if len(self._sites) >= MAX_WAITING:
+            displaced = self._displace(opening.arrived_at)
         item = self._build_item(opening)
         if not self._sites or item.expires_at < self._next_expiry_at:
             self._next_expiry_at = item.expires_at
@@ -115,22 +120,14 @@
         self._sites[opening.flow] = site
         return displaced
 
-    def record_dispatch(self, opening: Opening, now: float) -> None:
-        """Charge an opening that is dispatched without having waited."""
-        route, site = self._find_shares(opening)
-        self._charge(route, site, opening, now)
-
     def pop(self, now: float) -> Opening | None:
         """Remove and return the opening packet that is to be dispatched next."""
         if not self._sites:
             return None
-        backlogged = [each for each in self._routes.values() if not each.is_idle]
-        route = min(backlogged, key=lambda each: each.get_turn(self._clock))
-        sites = [each for each in route.sites.values() if not each.is_idle]
-        site = min(sites, key=lambda each: each.get_turn(route.clock))
-        opening = self._choose(site.waiting.values(), now)
+        party, items = choose_party(self._list_parties(now), self._clock)
+        opening = self._choose(items, now)
         self._remove(opening.flow)
-        self._charge(route, site, opening, now)
+        self._charge(party.route, party.site, opening, now)
         return opening
 
     def pop_expired(self, now: float) -> list[Opening]:
@@ -178,17 +175,27 @@
 
     def plan(self, now: float) -> list[Waiting]:
         """Return the openings in the order in which they would be dispatched."""
-        turns = []
+        parties = self._list_parties(now)
+        for party in parties:
+            served_s: dict[bytes, float] = {}
+            party.in_time = self._sort(party.in_time, party.work_s, served_s, now)
+            party.late = self._sort(party.late, party.work_s, served_s, now)
+        return plan_turns(parties, self._clock)
+
+    def _list_parties(self, now: float) -> list[Party]:
+        """List the routes and data centres whose openings wait."""
+        parties = []
         for key, route in self._routes.items():
-            if route.is_idle:
-                continue
             work_s = self._get_work_s(key, now)
-            sites = []
             for site in route.sites.values():
-                items = self._sort(site.waiting.values(), work_s, now)
-                sites.append((site, items, work_s))
-            turns.append((route, merge_turns(sites, route.clock), work_s))
-        return merge_turns(turns, self._clock)
+                if site.is_idle:
+                    continue
+                items = site.waiting.values()
+                begins_at = now + work_s
+                in_time = [each for each in items if each.objective_at >= begins_at]
+                late = [each for each in items if each.objective_at < begins_at]
+                parties.append(Party(route, site, work_s, in_time, late))
+        return parties
 
     def drain(self) -> list[Opening]:
         """Remove and return all packets, the oldest first."""
@@ -249,52 +256,51 @@
         self._callers.add(packets.get_flow_caller(opening.flow), work_s, now)
 
     def _choose(self, items: Collection[Waiting], now: float) -> Opening:
-        """Return the first opening in the order of one route and data centre."""
+        """Return the next of the openings of one party that are all in time or late."""
         work_s = self._get_work_s(next(iter(items)).route, now)
         levels: dict[bytes, int] = {}
 
-        def rank(item: Waiting) -> tuple[bool, int, float]:
+        def rank(item: Waiting) -> tuple[int, float]:
             level = levels.get(item.caller)
             if level is None:
                 served_s = self._callers.get_served_s(item.caller, now)
                 level = levels[item.caller] = compute_level(served_s, work_s)
-            is_late = now + work_s > item.objective_at
-            return is_late, level, -item.opening.arrived_at
+            return level, -item.objective_at
 
         return min(items, key=rank).opening
 
     def _sort(
-        self, items: Iterable[Waiting], work_s: float, now: float
+        self,
+        items: Iterable[Waiting],
+        work_s: float,
+        served_s: dict[bytes, float],
+        now: float,
     ) -> list[Waiting]:
-        """Sort openings of one route and data centre into their order of dispatch.
+        """Sort the openings of one party into their order of dispatch.
 
-        Each opening counts as served for those of its caller that follow it.
+        Each opening counts as served for those of its caller that follow it, which
+        `served_s` records.
         """
-        served_s: dict[bytes, float] = {}
         ranked = []
-        newest = sorted(items, key=lambda each: -each.opening.arrived_at)
+        newest = sorted(items, key=lambda each: -each.objective_at)
         for item in newest:
             total_s = served_s.get(item.caller)
             if total_s is None:
                 total_s = self._callers.get_served_s(item.caller, now)
             served_s[item.caller] = total_s + work_s
-            is_late = now + work_s > item.objective_at
-            ranked.append((is_late, compute_level(total_s, work_s), item))
-        ranked.sort(key=lambda each: each[:2])
-        return [item for _, _, item in ranked]
+            ranked.append((compute_level(total_s, work_s), item))
+        ranked.sort(key=lambda each: each[0])
+        return [item for _, item in ranked]
 
-    def _displace(self) -> Opening:
+    def _displace(self, now: float) -> Opening:
         """Remove and return the last opening of the longest queue for its weight."""
-        sites = [
-            (len(site.waiting) / route.weight, route, site)
-            for route in self._routes.values()
-            for site in route.sites.values()
-        ]
-        _, _, longest = max(sites, key=lambda each: each[0])
-        items = list(longest.waiting.values())
-        now = items[-1].opening.arrived_at
-        work_s = self._get_work_s(items[0].route, now)
-        last = self._sort(items, work_s, now)[-1]
+
+        def get_length(party: Party) -> float:
+            return (len(party.in_time) + len(party.late)) / party.route.weight
+
+        longest = max(self._list_parties(now), key=get_length)
+        items = longest.late or longest.in_time
+        last = self._sort(items, longest.work_s, {}, now)[-1]
         self._remove(last.opening.flow)
         return last.opening
 
--- a/src/balsamstream/flows/fair_share.py
+++ b/src/balsamstream/flows/fair_share.py
@@ -10,11 +10,12 @@
 
 from __future__ import annotations
 
+import copy
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final, TypeVar
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
     from .waiting_queue import Opening
 
@@ -104,25 +105,85 @@
 
 
 Key = TypeVar("Key", bytes, str)
-Party = TypeVar("Party", RouteShare, SiteShare)
+AnyShare = TypeVar("AnyShare", RouteShare, SiteShare)
 
 
-def merge_turns(
-    queues: Iterable[tuple[Share, list[Waiting], float]], clock: float
-) -> list[Waiting]:
-    """Merge queues by the virtual times at which their openings start."""
-    turns: list[tuple[tuple[float, float, float], Waiting]] = []
-    for share, items, work_s in queues:
-        start, weight, newest_at = share.get_turn(clock)
-        step = work_s / share.weight
-        for item in items:
-            turns.append(((start, weight, newest_at), item))
-            start += step
-    turns.sort(key=lambda each: each[0])
-    return [item for _, item in turns]
+@dataclass(slots=True, eq=False)
+class Party:
+    """Openings of one route and data centre that wait, with the shares they charge.
+
+    Attributes
+    ----------
+    route : RouteShare
+        Share of the route.
+    site : SiteShare
+        Share of the data centre within the route.
+    work_s : float
+        Work that one opening is charged, in seconds.
+    in_time, late : list of Waiting
+        Openings that can still meet their objective, and the others.
+    """
+
+    route: RouteShare
+    site: SiteShare
+    work_s: float
+    in_time: list[Waiting]
+    late: list[Waiting]
+
+    def charge(self, clock: float) -> float:
+        """Charge one opening; return the new virtual time of the queue."""
+        start = self.route.charge(clock, self.work_s)
+        self.route.clock = self.site.charge(self.route.clock, self.work_s)
+        return start
 
 
-def forget_idle(shares: dict[Key, Party]) -> None:
+def choose_party(
+    parties: Collection[Party], clock: float
+) -> tuple[Party, list[Waiting]]:
+    """Choose the party whose turn it is; routes with openings in time go first.
+
+    Returns
+    -------
+    Party, list of Waiting
+        The party and its openings from which the next one is taken.
+    """
+    waiting = [each for each in parties if each.in_time or each.late]
+    candidates = [each for each in waiting if each.in_time] or waiting
+    first = min(candidates, key=lambda each: each.route.get_turn(clock))
+    route = first.route
+    sites = [each for each in waiting if each.route is route]
+    party = min(sites, key=lambda each: each.site.get_turn(route.clock))
+    return party, party.in_time or party.late
+
+
+def plan_turns(parties: Iterable[Party], clock: float) -> list[Waiting]:
+    """Return all openings in the order of their turns; nothing is charged.
+
+    Parameters
+    ----------
+    parties : iterable of Party
+        Parties, their openings in the order of dispatch within each.
+    clock : float
+        Virtual time of the queue.
+    """
+    routes: dict[int, RouteShare] = {}
+    left = []
+    for party in parties:
+        route = routes.setdefault(id(party.route), copy.copy(party.route))
+        in_time, late = party.in_time[::-1], party.late[::-1]
+        site = copy.copy(party.site)
+        left.append(Party(route, site, party.work_s, in_time, late))
+    order = []
+    while left:
+        party, items = choose_party(left, clock)
+        order.append(items.pop())
+        clock = party.charge(clock)
+        if not party.in_time and not party.late:
+            left.remove(party)
+    return order
+
+
+def forget_idle(shares: dict[Key, AnyShare]) -> None:
     """Remove an idle party if there are too many; its past service is forgotten."""
     if len(shares) < MAX_SHARES:
         return
@@ -132,10 +193,12 @@
 
 
 __all__ = [
+    "Party",
     "RouteShare",
     "Share",
     "SiteShare",
     "Waiting",
+    "choose_party",
     "forget_idle",
-    "merge_turns",
+    "plan_turns",
 ]
--- a/src/balsamstream/flows/flow_table.py
+++ b/src/balsamstream/flows/flow_table.py
@@ -8,6 +8,7 @@
 
 from balsamstream.platform import packets
 
+from .confirmation import ConfirmationTimer
 from .host_work import HostWork, RouteWork
 
 if TYPE_CHECKING:
@@ -16,9 +17,6 @@
 
 ENDED_RETENTION_S: Final = 3.0
 """Time that an ended flow is kept for late copies of its last packets."""
-CONFIRM_TIMEOUT_S: Final = 0.1
-"""Time that an unconfirmed flow counts as in flight; a caller confirms within a round
-trip unless it has given up."""
 MAX_PENDING_S: Final = 5.0
 """Time that an unanswered request counts as in flight; an older one no longer indicates
 a busy host."""
@@ -67,6 +65,8 @@
         Flags of the sides that have ended the flow.
     request_at : float
         Time of the last byte of the caller's latest request, in seconds; 0 for none.
+    answered_at : float
+        Time of the host's answer to the opening packet, in seconds; 0 for none.
     """
 
     front: str
@@ -79,6 +79,7 @@
     pending_since: float = 0.0
     ended_by: int = 0
     request_at: float = 0.0
+    answered_at: float = 0.0
 
     def is_opened_by(self, packet: bytes) -> bool:
         """Return whether an opening packet is a copy of the one that opened the flow.
@@ -150,7 +151,8 @@
         self._events = events
         self._answers = answers
         self._flows: dict[bytes, Flow] = {}
-        self._unconfirmed: deque[tuple[float, Flow]] = deque()
+        self._unconfirmed: deque[Flow] = deque()
+        self._confirmation = ConfirmationTimer()
         self.in_flight = 0
         self.is_load_changed = False
         self.work = HostWork()
@@ -205,16 +207,14 @@
         if self._answers is not None:
             self._answers.clear()
 
-    def expect_confirmation(self, entry: Flow, opened_at: float) -> None:
-        """Schedule the check whether the caller has confirmed a flow."""
-        self._unconfirmed.append((opened_at, entry))
-
     def record_caller_packet(self, entry: Flow, packet: bytes, now: float) -> None:
         """Record a caller packet that goes to the host."""
         flags = packets.get_flags(packet)
         if not entry.is_confirmed:
             entry.is_confirmed = True
             self._events.observe_opening(now - entry.last_packet_at)
+            if entry.answered_at:
+                self._confirmation.add(now - entry.answered_at)
         entry.last_packet_at = now
         if flags & _ENDING:
             self._record_caller_end(entry, flags)
@@ -243,6 +243,9 @@
         """Record a host packet; tell whether it answers the request in flight."""
         flags = packets.get_flags(packet)
         entry.last_packet_at = now
+        if entry.host_next_seq is None and flags & packets.SYN:
+            entry.answered_at = now
+            self._unconfirmed.append(entry)
         entry.advance_host_seq(packet)
         if flags & packets.RST:
             entry.ended_by = BOTH_ENDED
@@ -272,9 +275,9 @@
 
     def expire_unconfirmed(self, now: float) -> None:
         """End the openings that their callers have not confirmed in time."""
-        unconfirmed = self._unconfirmed
-        while unconfirmed and now - unconfirmed[0][0] > CONFIRM_TIMEOUT_S:
-            _, entry = unconfirmed.popleft()
+        oldest_at = now - self._confirmation.timeout_s
+        while self._unconfirmed and self._unconfirmed[0].answered_at < oldest_at:
+            entry = self._unconfirmed.popleft()
             if not entry.is_confirmed:
                 self._end_request(entry)
 
--- a/src/balsamstream/flows/gate.py
+++ b/src/balsamstream/flows/gate.py
@@ -479,7 +479,6 @@
     def tick(self, now: float) -> None:
         """Dispatch, expire and report what is due."""
         self._dispatcher.tick(now)
-        self._flows.expire_unconfirmed(now)
         self._send_load_if_changed(now)
         if self.reporter.is_due(now):
             self._expire_heartbeat(now)
--- a/src/balsamstream/flows/waiting_queue.py
+++ b/src/balsamstream/flows/waiting_queue.py
@@ -76,9 +76,6 @@
     def add(self, opening: Opening) -> Opening | None:
         """Add an opening packet; return one that it displaces, or None."""
 
-    def record_dispatch(self, opening: Opening, now: float) -> None:
-        """Record an opening packet that is dispatched without having waited."""
-
     def pop(self, now: float) -> Opening | None:
         """Remove and return the packet that is to be dispatched next."""
 
@@ -127,9 +124,6 @@
             return None
         return self._openings.pop(next(iter(self._openings)))
 
-    def record_dispatch(self, _opening: Opening, _now: float) -> None:
-        """Record nothing, as the order does not depend on past service."""
-
     def pop(self, _now: float = 0.0) -> Opening | None:
         """Remove and return the newest packet of the most urgent priority."""
         best: Opening | None = None
--- a/tests/flows/test_fair_queue.py
+++ b/tests/flows/test_fair_queue.py
@@ -73,6 +73,12 @@
     return taken
 
 
+def serve(queue: FairQueue, opening: Opening) -> None:
+    """Dispatch an opening that does not wait."""
+    queue.add(opening)
+    assert queue.pop(NOW) is opening
+
+
 # Order.
 
 
@@ -109,7 +115,7 @@
 def test_caller_with_much_recent_service_goes_last() -> None:
     queue = build_queue()
     for _ in range(10):
-        queue.record_dispatch(build_opening(caller=7), NOW)
+        serve(queue, build_opening(caller=7))
     queue.add(build_opening(caller=1))
     queue.add(build_opening(caller=7, at=NOW + 0.01))
     assert [each.flow[-1] for each in pop_all(queue, NOW + 0.01)] == [1, 7]
@@ -243,7 +249,7 @@
 def test_restart_of_the_host_clears_the_order_and_keeps_what_waits() -> None:
     queue = build_queue()
     for _ in range(10):
-        queue.record_dispatch(build_opening(caller=7), NOW)
+        serve(queue, build_opening(caller=7))
     older, newer = build_opening(caller=1), build_opening(caller=7, at=NOW + 0.01)
     queue.add(older)
     queue.add(newer)
@@ -432,13 +438,34 @@
     queue = build_queue()
     served = build_opening(caller=1)
     for _ in range(4):
-        queue.record_dispatch(served, NOW)
+        serve(queue, served)
     late = build_opening(caller=2, at=NOW - 0.5)
     queue.add(late)
     queue.add(build_opening(caller=1))
     assert queue.pop(NOW) != late
 
 
+def test_opening_in_time_precedes_late_ones_of_other_routes() -> None:
+    """Guards against a share of the slots for answers that come late anyway."""
+    queue = build_queue()
+    for caller in range(5):
+        queue.add(build_opening(1, caller, at=NOW - 0.5))
+    in_time = [build_opening(0, caller) for caller in range(5, 10)]
+    for opening in in_time:
+        queue.add(opening)
+    assert set(pop_all(queue)[:5]) == set(in_time)
+
+
+def test_opening_that_another_gate_has_declined_does_not_count_as_new() -> None:
+    """Guards against openings that move between gates ahead of younger ones."""
+    queue = build_queue()
+    younger = build_opening(caller=1, at=NOW - 0.3)
+    queue.add(younger)
+    older = build_opening(caller=2, at=NOW, objective_s=-0.3)
+    queue.add(older)
+    assert pop_all(queue) == [younger, older]
+
+
 def test_late_openings_do_not_count_for_the_wait_of_a_new_one() -> None:
     """Guards against refusals of requests that the host would answer in time."""
     queue = build_queue()
