Reset the flows of a host's former incarnation, saved by fronts across a power loss

Requests that may be repeated wait for a retransmission, the last of which comes 0.1 s before their deadline. Ruled out: the search for the holder (answered in 2 to 5 ms once all gates run), and the order at the gates.

Change: a front records which incarnation of which host holds the flows that pass it. A gate reports its host's incarnation, at once after a restart; the front then resets the flows of earlier ones that are older than a second, with the caller's last acknowledgement number. Fronts save these flows in an object of their own, every 5 s at most and twice a second for all fronts together, and read it at their start. A flow is reset only if its host has reported a later incarnation, so a kill of nodes alone resets none.

--- a/src/balsamstream/flows/fleet.py
+++ b/src/balsamstream/flows/fleet.py
@@ -129,6 +129,10 @@
         """Whether another front has been heard within the timeout."""
         return bool(self._fronts.heard_at)
 
+    def count_fronts(self) -> int:
+        """Return the number of fronts that are known, with this one."""
+        return len(self._fronts.data_centres) + 1
+
     def find_route(self, packet: bytes) -> Route | None:
         """Return the route of a caller packet, or None if there is none."""
         if self.desired is None:
@@ -281,23 +285,30 @@
             self._outliers.forget(host)
         host.state = state
 
-    def handle_control(self, message: bytes, sender: str, now: float) -> None:
-        """Handle a control message of another node."""
+    def handle_control(self, message: bytes, sender: str, now: float) -> Host | None:
+        """Handle a control message of another node.
+
+        Returns
+        -------
+        Host or None
+            The host of which a new incarnation was reported, if any.
+        """
         match decode_control(message):
             case Report() as report:
-                self._handle_report(report, sender, now)
+                return self._handle_report(report, sender, now)
             case Hello() as hello:
                 self._handle_hello(hello, sender, now)
             case _:
                 self._events.count("messages.unreadable")
+        return None
 
-    def _handle_report(self, report: Report, sender: str, now: float) -> None:
+    def _handle_report(self, report: Report, sender: str, now: float) -> Host | None:
         host = self._get_or_add_host(report, sender, now)
         if (
             report.gate_incarnation == host.gate_incarnation
             and report.sequence <= host.sequence
         ):
-            return
+            return None
         if report.gate_incarnation != host.gate_incarnation:
             host.gate_incarnation = report.gate_incarnation
             host.unreported.clear()
@@ -320,6 +331,10 @@
         self._gates.sightings[sender].seen_at = now
         if report.state != host.state and report.state in _STATES:
             self._set_state(host, HostState(report.state), now)
+        is_restarted = report.host_incarnation > host.incarnation
+        # A gate that has just started does not know it yet.
+        host.incarnation = max(host.incarnation, report.host_incarnation)
+        return host if is_restarted else None
 
     def _get_or_add_host(self, report: Report, sender: str, now: float) -> Host:
         """Return the host of a report.
--- a/src/balsamstream/flows/front.py
+++ b/src/balsamstream/flows/front.py
@@ -15,6 +15,7 @@
 from .delay import NewFlow
 from .fleet import Fleet, FleetTransport
 from .heartbeat import HostState
+from .held_flows import HeldFlows
 from .hints import Hints
 from .load_policy import DEFAULT_POLICY, LoadPolicy
 from .messages import TIMED_PROTOCOL, Kind, compute_route_tag
@@ -27,6 +28,7 @@
 
     from .desired_state import Route
     from .events import Events
+    from .held_flows import SavedFlow
     from .placement import Host
 
 MAX_PLACEMENTS: Final = 4
@@ -73,6 +75,8 @@
     ----------
     fleet : Fleet
         Other nodes and the desired state.
+    held_flows : HeldFlows
+        Open flows whose packets pass here.
     """
 
     def __init__(
@@ -100,6 +104,7 @@
         )
         self._chooser = HostChooser(policy, ip, data_centre)
         self._hints: Hints[Host] = Hints()
+        self.held_flows = HeldFlows()
         self._declined_by: Hints[set[str]] = Hints()
         self._startup_buffer = StartupBuffer(now)
         self._searches = Searches(transport, events, self.fleet)
@@ -129,8 +134,17 @@
     def _forward(self, packet: bytes, host: Host, now: float) -> None:
         if not host.is_alive(now):
             self.fleet.keep_contact(host, now)
+        self._record_held(packet, host, now)
         self._transport.send_to_gate(host.address, _FORWARD + packet)
 
+    def _record_held(self, packet: bytes, host: Host, now: float) -> None:
+        flow = packets.get_flow(packet)
+        if packets.get_flags(packet) & _ENDING:
+            self.held_flows.remove(flow)
+            return
+        ack = packets.get_ack(packet)
+        self.held_flows.record(flow, host.ip, host.incarnation, ack, now)
+
     def _handle_opening(
         self,
         packet: bytes,
@@ -318,10 +332,31 @@
             case Kind.NOT_HELD:
                 self._searches.handle_not_held(message[1:], sender, now)
             case Kind.CONTROL:
-                self.fleet.handle_control(message, sender, now)
+                restarted = self.fleet.handle_control(message, sender, now)
+                if restarted is not None:
+                    self._reset_ended(restarted, now)
             case _:
                 self._events.count("messages.unknown")
 
+    def restore_flows(self, flows: list[SavedFlow], now: float) -> None:
+        """Add the flows that an earlier run has saved, and reset those that ended."""
+        self.held_flows.restore(flows, now)
+        for host in self.fleet.iterate_all_hosts():
+            self._reset_ended(host, now)
+
+    def _reset_ended(self, host: Host, now: float) -> None:
+        """Reset the flows that ended when a host restarted."""
+        ended = self.held_flows.pop_ended(host.ip, host.incarnation, now)
+        if not ended:
+            return
+        for flow, ack in ended.items():
+            self._searches.end(flow)
+            self._hints.remove(flow)
+            self._transport.send_to_caller(packets.build_flow_reset(flow, ack))
+        self._events.emit(
+            "flows_reset", host=host.ip, flows=len(ended), incarnation=host.incarnation
+        )
+
     def _handle_declined(self, message: bytes, sender: str, now: float) -> None:
         decline = decode_decline(message)
         if decline is None:
@@ -368,6 +403,7 @@
         if host is not None and host.ip != sender:
             self._forward(packet, host, now)
             return
+        self.held_flows.remove(flow)
         if self._searches.is_searching(flow, now):
             self._hints.remove(flow)
             self._searches.handle_not_held(flow, sender, now)
@@ -406,9 +442,11 @@
         if not self.fleet.tick(now):
             return
         self._hints.tick(now)
+        self.held_flows.tick(now)
         self._declined_by.tick(now)
 
 
 _FORWARD: Final = bytes((Kind.FORWARD,))
+_ENDING: Final = packets.FIN | packets.RST
 
 __all__ = ["Front", "FrontTransport"]
--- a/src/balsamstream/flows/gate.py
+++ b/src/balsamstream/flows/gate.py
@@ -188,6 +188,9 @@
             self._answers.slots = self._host.slots
         if self.state is not before:
             self._handle_state_change("heartbeat", now)
+        elif incarnation not in (0, self._host.incarnation):
+            # Fronts reset the flows of the former incarnation.
+            self.reporter.notify_fronts(now)
 
     def handle_leave(self, host: str, now: float) -> None:
         """Handle the message of a host that it leaves for good."""
@@ -552,6 +555,7 @@
             protocol=PROTOCOL,
             routes=self._build_routes(now),
             wait_ms=clamp_ms(wait_s or 0.0),
+            host_incarnation=self._host.incarnation,
         )
 
     def _build_routes(self, now: float) -> list[RouteReport]:
--- /dev/null
+++ b/src/balsamstream/flows/held_flows.py
@@ -0,0 +1,145 @@
+"""Flows that callers use through one front, by the incarnation of the host.
+
+Load pattern: hosts restart, one by one or all at a loss of power, while callers keep
+flows open. A caller learns that its flow has ended only when it sends a request there,
+and that request fails if it may not be repeated. A front that knows which flows a
+host's former incarnation held resets them at once, so that the next request opens a new
+flow; a request that waits for an answer is repeated at once where that is safe.
+
+A front saves its flows in the store from time to time, as a loss of power leaves no
+node that knows them.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from .hints import Hints
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+MIN_AGE_S: Final = 1.0
+"""Age below which a flow may have been opened at the incarnation whose first report is
+on its way."""
+MAX_SAVED: Final = 32_768
+"""Flows that are saved: they take 0.7 of the 1 MB that an object of the store has."""
+
+
+@dataclass(slots=True)
+class HeldFlow:
+    """An open flow and its holder.
+
+    Attributes
+    ----------
+    host : str
+        Address of the host.
+    incarnation : int
+        Incarnation of the host, in milliseconds since 1970; 0 if it is not known.
+    ack : int
+        Last acknowledgement number of the caller, which a reset has to repeat.
+    opened_at : float
+        Time of the first packet here, in seconds.
+    """
+
+    host: str
+    incarnation: int
+    ack: int
+    opened_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class SavedFlow:
+    """An open flow as it is saved in the store.
+
+    Attributes
+    ----------
+    key : bytes
+        Key of the flow.
+    host : str
+        Address of the host.
+    incarnation : int
+        Incarnation of the host, in milliseconds since 1970.
+    ack : int
+        Last acknowledgement number of the caller.
+    """
+
+    key: bytes
+    host: str
+    incarnation: int
+    ack: int
+
+
+class HeldFlows:
+    """Bounded table of the open flows of a front; unused entries expire."""
+
+    def __init__(self) -> None:
+        self._flows: Hints[HeldFlow] = Hints()
+
+    def record(
+        self, flow: bytes, host: str, incarnation: int, ack: int, now: float
+    ) -> None:
+        """Record a caller packet that goes to the holder of its flow."""
+        held = self._flows.get(flow)
+        if held is not None and held.host == host and held.incarnation == incarnation:
+            held.ack = ack
+            return
+        self._flows.put(flow, HeldFlow(host, incarnation, ack, now))
+
+    def remove(self, flow: bytes) -> None:
+        """Remove a flow that has ended, or whose holder is in doubt."""
+        self._flows.remove(flow)
+
+    def pop_ended(self, host: str, incarnation: int, now: float) -> dict[bytes, int]:
+        """Remove the flows that ended with earlier incarnations of a host.
+
+        Parameters
+        ----------
+        host : str
+            Address of the host.
+        incarnation : int
+            Its present incarnation, in milliseconds since 1970.
+        now : float
+            Time, in seconds.
+
+        Returns
+        -------
+        dict of bytes to int
+            The caller's last acknowledgement number by flow.
+        """
+        ended = {
+            flow: held.ack
+            for flow, held in self._flows.items()
+            if held.host == host
+            and 0 < held.incarnation < incarnation
+            and now - held.opened_at >= MIN_AGE_S
+        }
+        for flow in ended:
+            self._flows.remove(flow)
+        return ended
+
+    def restore(self, flows: Iterable[SavedFlow], now: float) -> None:
+        """Add flows that an earlier run of this front has saved."""
+        for saved in flows:
+            if self._flows.get(saved.key) is not None:
+                continue
+            opened_at = now - MIN_AGE_S
+            held = HeldFlow(saved.host, saved.incarnation, saved.ack, opened_at)
+            self._flows.put(saved.key, held)
+
+    def list_saved(self) -> list[SavedFlow]:
+        """List the flows to save; those at hosts of unknown incarnation are not."""
+        return list(self._iterate_known())[:MAX_SAVED]
+
+    def _iterate_known(self) -> Iterator[SavedFlow]:
+        for flow, held in self._flows.items():
+            if held.incarnation:
+                yield SavedFlow(flow, held.host, held.incarnation, held.ack)
+
+    def tick(self, now: float) -> None:
+        """Drop unused entries when due."""
+        self._flows.tick(now)
+
+
+__all__ = ["MAX_SAVED", "MIN_AGE_S", "HeldFlow", "HeldFlows", "SavedFlow"]
--- a/src/balsamstream/flows/hints.py
+++ b/src/balsamstream/flows/hints.py
@@ -6,7 +6,10 @@
 
 from __future__ import annotations
 
-from typing import Final, Generic, TypeVar
+from typing import TYPE_CHECKING, Final, Generic, TypeVar
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
 
 V = TypeVar("V")
 
@@ -54,6 +57,11 @@
         self._young.pop(flow, None)
         self._old.pop(flow, None)
 
+    def items(self) -> Iterator[tuple[bytes, V]]:
+        """Iterate over the flows and their entries; the table must not change."""
+        yield from self._old.items()
+        yield from self._young.items()
+
     def tick(self, now: float) -> None:
         """Rotate the generations when due, which drops the older one."""
         if now - self._rotated_at >= GENERATION_S:
--- a/src/balsamstream/flows/messages.py
+++ b/src/balsamstream/flows/messages.py
@@ -317,6 +317,8 @@
         milliseconds.
     routes : list of RouteReport
         Recent answers on the routes with most of them.
+    host_incarnation : int
+        Incarnation of the host, in milliseconds since 1970; 0 if it is not known.
     """
 
     gate_incarnation: int
@@ -336,6 +338,7 @@
     protocol: int = 1
     wait_ms: int = 0
     routes: list[RouteReport] = []
+    host_incarnation: int = 0
 
 
 ControlMessage: TypeAlias = Hello | Report
--- a/src/balsamstream/flows/placement.py
+++ b/src/balsamstream/flows/placement.py
@@ -58,6 +58,8 @@
     gate_incarnation, sequence : int
         Incarnation of the gate's process and sequence number of its last report or load
         message.
+    incarnation : int
+        Incarnation of the host, in milliseconds since 1970; 0 if it is not known.
     name, service, data_centre : str
         Identifier, service and data centre of the host.
     state : HostState
@@ -108,6 +110,7 @@
     address: tuple[str, int]
     gate_incarnation: int = 0
     sequence: int = -1
+    incarnation: int = 0
     name: str = ""
     service: str = ""
     data_centre: str = ""
--- a/src/balsamstream/node/discovery.py
+++ b/src/balsamstream/node/discovery.py
@@ -52,6 +52,8 @@
 
     Attributes
     ----------
+    entry_name : str
+        Name of this node's entry.
     is_first_here : bool
         Whether the store had no entry of an earlier run at this address.
     """
@@ -60,7 +62,7 @@
         self._store = store
         self._node = node
         self._events = events
-        self._entry_name = node.ip.replace(".", "-")
+        self.entry_name = node.ip.replace(".", "-")
         # A front resets no lost flow before it has read which gates there are.
         self._is_urgent = node.role == "front"
         self._own_entry: StoredObject | None = None
@@ -130,7 +132,7 @@
         while True:
             result = await self._store.create(
                 ObjectKind.NODES,
-                self._entry_name,
+                self.entry_name,
                 content,
                 is_urgent=self._is_urgent,
             )
@@ -199,7 +201,7 @@
         nodes = []
         self._era = listing.position.era
         for stored in listing.objects:
-            if stored.name == self._entry_name:
+            if stored.name == self.entry_name:
                 # The response to a write need not show the entry.
                 self._own_entry = self._own_entry or stored
                 continue
--- a/src/balsamstream/node/front.py
+++ b/src/balsamstream/node/front.py
@@ -20,11 +20,13 @@
 )
 
 from .datagrams import DatagramSocket
+from .flow_saver import FlowSaver
 from .service import NodeService
 from .settings import split_address
 from .store_watcher import StoreWatcher
 
 if TYPE_CHECKING:
+    from balsamstream.flows.held_flows import SavedFlow
     from balsamstream.platform.documents import NodeEntry
 
 DESIRED_PATH: Final = "/desired"
@@ -63,6 +65,14 @@
         self._desired_body = b""
         self._fetching_version = 0
         self.add_server((settings.ip, settings.node_port), self._handle_node_request)
+        self._flow_saver = FlowSaver(
+            self.open_store(),
+            self.discovery.entry_name,
+            self._restore_flows,
+            self._front.held_flows.list_saved,
+            self._front.fleet.count_fronts,
+            self.events,
+        )
         self._store_watchers = {
             "desired_state": StoreWatcher(
                 self.open_store(),
@@ -84,12 +94,15 @@
         self._callers_socket.start()
         for name, watcher in self._store_watchers.items():
             self.start_task(name, watcher.run)
+        self.start_task("flow_saver", self._flow_saver.run)
 
     async def close(self) -> None:
         """Stop the tasks and close all sockets and connections."""
         for name, watcher in self._store_watchers.items():
             await self.kernel.end_task(name)
             watcher.close()
+        await self.kernel.end_task("flow_saver")
+        self._flow_saver.close()
         await self.kernel.end_task("fetch")
         self._callers_socket.close()
         await super().close()
@@ -178,6 +191,7 @@
         """List all objects again, and check this node's entry."""
         for watcher in self._store_watchers.values():
             watcher.handle_newer_era(era)
+        self._flow_saver.handle_newer_era()
         super().handle_newer_era(era)
 
     # Input from callers, the store and other fronts.
@@ -214,6 +228,9 @@
         now = asyncio.get_running_loop().time()
         self._front.fleet.apply_evacuations(evacuations, "store", now)
 
+    def _restore_flows(self, flows: list[SavedFlow]) -> None:
+        self._front.restore_flows(flows, asyncio.get_running_loop().time())
+
     def _handle_node_request(self, request: Request) -> Response:
         if request.path != DESIRED_PATH or not self._desired_body:
             return Response(404)
--- a/src/balsamstream/platform/documents.py
+++ b/src/balsamstream/platform/documents.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
 from balsamstream.flows.desired_state import DesiredState, Route, ServiceRules, Share
 from balsamstream.flows.heartbeat import Heartbeat, HostState
+from balsamstream.flows.held_flows import SavedFlow
 
-from .packets import pack_route
+from .packets import FLOW_KEY_BYTES, pack_route
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 MS_PER_S = 1_000.0
 REPEATABLE_ROUTE_TYPES = frozenset({"safe", "download"})
@@ -102,9 +106,20 @@
     is_without_host: bool = False
 
 
+class _HeldDocument(msgspec.Struct):
+    # Flows at one incarnation of a host: for each its key and the caller's last
+    # acknowledgement number. Not a document of the platform.
+    host: str
+    incarnation: int
+    flows: bytes
+
+
 _CONFIG_DECODER = msgspec.json.Decoder(_ConfigDocument)
 _HEARTBEAT_DECODER = msgspec.json.Decoder(_HeartbeatDocument)
 _NODE_DECODER = msgspec.json.Decoder(_NodeDocument)
+_HELD_DECODER = msgspec.json.Decoder(list[_HeldDocument])
+_ACK_BYTES = 4
+_SAVED_BYTES = FLOW_KEY_BYTES + _ACK_BYTES
 _STATES = {"ready": HostState.READY, "draining": HostState.DRAINING}
 
 
@@ -185,6 +200,39 @@
     return msgspec.json.encode(document)
 
 
+def read_saved_flows(body: bytes) -> list[SavedFlow]:
+    """Decode the open flows that a front has saved.
+
+    Raises
+    ------
+    MalformedDocument
+        If the document is malformed.
+    """
+    saved = []
+    for each in _decode(_HELD_DECODER, body):
+        if len(each.flows) % _SAVED_BYTES:
+            raise MalformedDocument(f"flows of {each.host}: broken off")
+        for start in range(0, len(each.flows), _SAVED_BYTES):
+            key = each.flows[start : start + FLOW_KEY_BYTES]
+            ack = each.flows[start + FLOW_KEY_BYTES : start + _SAVED_BYTES]
+            flow = SavedFlow(key, each.host, each.incarnation, int.from_bytes(ack))
+            saved.append(flow)
+    return saved
+
+
+def write_saved_flows(flows: Iterable[SavedFlow]) -> bytes:
+    """Encode the open flows of a front, grouped by host."""
+    grouped: dict[tuple[str, int], bytearray] = {}
+    for flow in flows:
+        group = grouped.setdefault((flow.host, flow.incarnation), bytearray())
+        group += flow.key + flow.ack.to_bytes(_ACK_BYTES)
+    documents = [
+        _HeldDocument(host, incarnation, bytes(group))
+        for (host, incarnation), group in grouped.items()
+    ]
+    return msgspec.json.encode(documents)
+
+
 def _decode(decoder: msgspec.json.Decoder[Any], body: bytes) -> Any:  # noqa: ANN401
     try:
         return decoder.decode(body)
@@ -219,5 +267,7 @@
     "read_desired_state",
     "read_heartbeat",
     "read_node",
+    "read_saved_flows",
     "write_node",
+    "write_saved_flows",
 ]
--- a/src/balsamstream/platform/packets.py
+++ b/src/balsamstream/platform/packets.py
@@ -23,6 +23,7 @@
 RST: Final = 1
 
 _HEADER: Final = struct.Struct(">IIIHIHIIHB")
+_FLOW_KEY: Final = struct.Struct(">HIHI")
 _UINT32: Final = struct.Struct(">I")
 _FLAGS_OFFSET: Final = 30
 _ACK_OFFSET: Final = 4
@@ -134,6 +135,20 @@
     return _HEADER.pack(seq, 0, 0, dport, src, sport, dst, 0, 0, RST)
 
 
+def build_flow_reset(flow: bytes, ack: int) -> bytes:
+    """Build the reset packet of an open flow without a packet of its caller.
+
+    Parameters
+    ----------
+    flow : bytes
+        Key of the flow.
+    ack : int
+        Last acknowledgement number of the caller; see `build_reset`.
+    """
+    sport, dst, dport, src = _FLOW_KEY.unpack(flow)
+    return _HEADER.pack(ack, 0, 0, dport, src, sport, dst, 0, 0, RST)
+
+
 def pack_route(ip: str, port: int) -> bytes:
     """Pack the address and port of a route as in a packet header.
 
@@ -168,6 +183,7 @@
     "MAX_PACKET_BYTES",
     "RST",
     "SYN",
+    "build_flow_reset",
     "build_reset",
     "describe_flow",
     "get_ack",
--- a/src/balsamstream/platform/store.py
+++ b/src/balsamstream/platform/store.py
@@ -37,8 +37,9 @@
 
     DESIRED_STATE = "config"
     EVACUATIONS = "evacuations"
-    # Entries of nodes; not a kind of the platform.
+    # Entries of nodes, and the open flows of each front; not kinds of the platform.
     NODES = "nodes"
+    FLOWS = "flows"
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,6 +120,11 @@
     """The store no longer has the changes since that revision; list the objects."""
 
 
+@dataclass(frozen=True, slots=True)
+class NotStored:
+    """There is no readable object of that name."""
+
+
 @dataclass(frozen=True, slots=True)
 class Unavailable:
     """No usable response; a write may have taken effect or may do so later.
@@ -302,6 +308,33 @@
         )
         return await _receive_write(call)
 
+    async def read(
+        self, kind: ObjectKind, name: str
+    ) -> StoredObject | NotStored | Unavailable:
+        """Read one object; callers wait for the result."""
+        call = self._hedged_client.call(
+            "GET",
+            f"{OBJECTS_PATH}/{kind.value}/{name}",
+            timeout_s=CALL_TIMEOUT_S,
+            is_urgent=True,
+        )
+        response = await _receive(call)
+        if isinstance(response, Unavailable):
+            return response
+        if response.status != _OK:
+            return NotStored()
+        body = msgspec.Raw(response.body)
+        return _decode_object(body, _read_era(response)) or NotStored()
+
+    async def overwrite(
+        self, kind: ObjectKind, name: str, content: bytes
+    ) -> WriteResult:
+        """Replace an object whatever its revision; `Conflict` if it does not exist."""
+        body = b'{"meta":{"name":"%s"},"spec":%s}' % (name.encode(), content)
+        path = f"{OBJECTS_PATH}/{kind.value}/{name}"
+        call = self._client.call("PUT", path, body, timeout_s=CALL_TIMEOUT_S)
+        return await _receive_write(call)
+
     async def replace(
         self, kind: ObjectKind, known: StoredObject, content: bytes
     ) -> WriteResult:
@@ -369,6 +402,7 @@
     "HistoryGone",
     "ObjectKind",
     "Listing",
+    "NotStored",
     "StoreClient",
     "StorePosition",
     "StoredObject",
