--- a/src/balsamstream/node/flow_saver.py
+++ b/src/balsamstream/node/flow_saver.py
@@ -32,7 +32,7 @@
 MIN_INTERVAL_S: Final = 5.0
 """Least time between two saves; flows opened since the last one are not known after a
 loss of power."""
-SAVES_PER_S: Final = 2.0
+SAVES_PER_S: Final = 4.0
 """Saves of all fronts together, which keeps the load on the store bounded."""
 NO_FLOWS: Final = write_saved_flows([])
 
