Build a node's service from one context, bind sockets in one place

Seven arguments went through run, process and both services as untyped positional ones; NodeContext names them. The two functions that open sockets share the binding.

--- a/src/balsamstream/node/front.py
+++ b/src/balsamstream/node/front.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Final
 
 from balsamstream.flows.desired_state import Evacuations
 from balsamstream.flows.front import Front
@@ -29,6 +29,8 @@
     from balsamstream.flows.held_flows import SavedFlow
     from balsamstream.platform.documents import NodeEntry
 
+    from .context import NodeContext
+
 DESIRED_PATH: Final = "/desired"
 FETCH_TIMEOUT_S: Final = 2.0
 FETCH_DELAY_S: Final = 0.3
@@ -41,8 +43,8 @@
 class FrontService(NodeService):
     """Connects a `Front` to sockets, the store and other fronts."""
 
-    def __init__(self, *arguments: Any) -> None:  # noqa: ANN401
-        super().__init__(*arguments)
+    def __init__(self, context: NodeContext) -> None:
+        super().__init__(context)
         settings = self.settings
         self._front = Front(
             self,
--- a/src/balsamstream/node/gate.py
+++ b/src/balsamstream/node/gate.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Final
 
 from balsamstream.flows.gate import Gate
 from balsamstream.flows.heartbeat import HostState
@@ -18,6 +18,8 @@
 if TYPE_CHECKING:
     from balsamstream.platform.documents import NodeEntry
 
+    from .context import NodeContext
+
 STOP_DELAY_S: Final = 0.3
 """Time for the host's last packets and for the requests in progress at a stop."""
 DELETE_TIMEOUT_S: Final = 1.0
@@ -28,8 +30,8 @@
 class GateService(NodeService):
     """Connects a `Gate` to sockets and to its host."""
 
-    def __init__(self, *arguments: Any) -> None:  # noqa: ANN401
-        super().__init__(*arguments)
+    def __init__(self, context: NodeContext) -> None:
+        super().__init__(context)
         settings = self.settings
         host = settings.host
         assert host is not None
--- a/src/balsamstream/node/process.py
+++ b/src/balsamstream/node/process.py
@@ -9,6 +9,7 @@
 
 from balsamstream.kernel.kernel import Kernel
 
+from .context import NodeContext
 from .events import NodeEvents
 from .logs import Logs
 from .metrics import Metrics
@@ -44,7 +45,8 @@
     metrics = Metrics()
     events = NodeEvents(logs, metrics, logs_flows=settings.log_level == "flow")
     kernel = Kernel(logs)
-    service = _build_service(kernel, path, settings, events, logs, metrics, sockets)
+    context = NodeContext(kernel, path, settings, events, logs, metrics, sockets)
+    service = _build_service(context)
     kernel.add(settings.role, service)
     _handle_signals(kernel, service, events)
     events.emit(
@@ -68,23 +70,15 @@
     return 0
 
 
-def _build_service(
-    kernel: Kernel,
-    path: str,
-    settings: Settings,
-    events: NodeEvents,
-    logs: Logs,
-    metrics: Metrics,
-    sockets: SocketPool,
-) -> NodeService:
+def _build_service(context: NodeContext) -> NodeService:
     """Build the service of the role, importing only the modules of that role."""
-    if settings.role == "front":
+    if context.settings.role == "front":
         from .front import FrontService
 
-        return FrontService(kernel, path, settings, events, logs, metrics, sockets)
+        return FrontService(context)
     from .gate import GateService
 
-    return GateService(kernel, path, settings, events, logs, metrics, sockets)
+    return GateService(context)
 
 
 def _handle_signals(kernel: Kernel, service: NodeService, events: NodeEvents) -> None:
--- a/src/balsamstream/node/service.py
+++ b/src/balsamstream/node/service.py
@@ -16,18 +16,14 @@
 
 from .datagrams import DatagramSocket
 from .discovery import Discovery
-from .settings import Settings, SettingsError, load_settings, split_address
+from .settings import SettingsError, load_settings, split_address
 from .ticker import Ticker
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from balsamstream.kernel.kernel import Kernel
-
+    from .context import NodeContext
     from .events import NodeEvents
-    from .logs import Logs
-    from .metrics import Metrics
-    from .sockets import SocketPool
 
 SETTINGS_CHECK_S: Final = 1.0
 FLUSH_INTERVAL_S: Final = 0.1
@@ -45,16 +41,8 @@
 
     Parameters
     ----------
-    kernel : Kernel
-        Runs the tasks.
-    path : str
-        Path of the settings file.
-    settings : Settings
-        Settings read at the start.
-    events, logs, metrics : NodeEvents, Logs, Metrics
-        Events, log and metrics of the process.
-    sockets : SocketPool
-        Sockets that are open already.
+    context : NodeContext
+        Parts of the process.
 
     Attributes
     ----------
@@ -68,23 +56,14 @@
         Set when the graceful stop has ended and the sockets may be closed.
     """
 
-    def __init__(
-        self,
-        kernel: Kernel,
-        path: str,
-        settings: Settings,
-        events: NodeEvents,
-        logs: Logs,
-        metrics: Metrics,
-        sockets: SocketPool,
-    ) -> None:
-        self.kernel = kernel
-        self.sockets = sockets
-        self.settings = settings
-        self.events = events
-        self._settings_path = path
-        self._logs = logs
-        self._metrics = metrics
+    def __init__(self, context: NodeContext) -> None:
+        self.kernel = context.kernel
+        self.sockets = context.sockets
+        self.settings = settings = context.settings
+        self.events = events = context.events
+        self._settings_path = context.path
+        self._logs = context.logs
+        self._metrics = context.metrics
         self.incarnation = 1 + int.from_bytes(os.urandom(INCARNATION_BYTES))
         service = "" if settings.host is None else settings.host.service
         entry = NodeEntry(settings.ip, settings.role, settings.data_centre, service)
@@ -92,7 +71,7 @@
         node_address = (settings.ip, settings.node_port)
         self.nodes_socket = DatagramSocket(
             node_address,
-            sockets,
+            self.sockets,
             self.handle_message,
             events,
             self.detect_pause,
@@ -105,7 +84,7 @@
                 (settings.ip, settings.metrics_port), self._handle_metrics_request
             ),
         ]
-        self._modified_at = _read_modification_time(path)
+        self._modified_at = _read_modification_time(context.path)
         self._boot_clock_s = read_boot_clock()
         self._seeds_due = 0.0
         self._flush_due = 0.0
--- a/src/balsamstream/node/sockets.py
+++ b/src/balsamstream/node/sockets.py
@@ -82,15 +82,7 @@
     OSError
         If the address cannot be bound.
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    try:
-        sock.setblocking(False)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        sock.bind(address)
-    except OSError:
-        sock.close()
-        raise
-    return sock
+    return _bind(socket.SOCK_DGRAM, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES, address)
 
 
 def open_listener(address: tuple[str, int]) -> socket.socket:
@@ -101,12 +93,20 @@
     OSError
         If the address cannot be bound.
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock = _bind(socket.SOCK_STREAM, socket.SO_REUSEADDR, 1, address)
+    sock.listen(BACKLOG)
+    return sock
+
+
+def _bind(
+    kind: socket.SocketKind, option: int, value: int, address: tuple[str, int]
+) -> socket.socket:
+    """Open a socket with one option set and bind it."""
+    sock = socket.socket(socket.AF_INET, kind)
     try:
         sock.setblocking(False)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, option, value)
         sock.bind(address)
-        sock.listen(BACKLOG)
     except OSError:
         sock.close()
         raise
