Give the openings of a front, the later packets of a gate and stored objects modules

Cause: front.py (452 lines) placed openings and forwarded packets, gate.py (588) admitted flows and answered searches, platform/store.py (411) held the client of the store and the types of its results. Three protocols named the same two methods of a front's transport.

Ruled out: a change of any decision; code moved, and a host's hint is read where it is used.

Change: flows/openings.py, flows/later_packets.py, flows/transport.py and platform/stored_objects.py are new; front.py has 223 lines, gate.py 526, store.py 275.

--- a/src/balsamstream/flows/gate.py
+++ b/src/balsamstream/flows/gate.py
@@ -21,6 +21,7 @@
 from .flow_table import Flow, FlowTable
 from .heartbeat import HostState
 from .host_record import HeartbeatOutcome, HostRecord
+from .later_packets import LaterPackets
 from .load_policy import DEFAULT_POLICY, LoadPolicy
 from .messages import (
     PROTOCOL,
@@ -30,9 +31,6 @@
     Report,
     clamp_ms,
     decode_control,
-    decode_relayed_search,
-    decode_search_request,
-    encode_relayed_search,
 )
 from .older_flows import OlderFlows
 from .opening_messages import decode_open, encode_decline
@@ -123,6 +121,14 @@
         )
         self._replies = SearchReplies(transport.send_to_node, events)
         self._older_flows = OlderFlows(self._host, self._replies, events, now)
+        self._later_packets = LaterPackets(
+            events,
+            self._flows,
+            self._older_flows,
+            self._replies,
+            self._send_to_host,
+            transport.send_to_node,
+        )
         self._is_leaving = False
         self._expected_wait_s = 0.0
         self.reporter = Reporter(
@@ -252,7 +258,7 @@
         if not message:
             return
         if message[0] == _FORWARD:
-            self._handle_later_packet(message[1:], sender, now, is_search=False)
+            self._later_packets.handle(message[1:], sender, now, is_search=False)
         else:
             self._handle_by_kind(message, sender, now)
         self._send_load_if_changed(now)
@@ -262,9 +268,9 @@
             case Kind.OPEN | Kind.TIMED_OPEN:
                 self._handle_open(message, sender, now)
             case Kind.RELAYED_SEARCH:
-                self._handle_relayed_search(message, now)
+                self._later_packets.handle_relayed_search(message, now)
             case Kind.SEARCH:
-                self._handle_search(message, sender, now)
+                self._later_packets.handle_search(message, sender, now)
             case Kind.CONTROL:
                 self._handle_control(message, sender, now)
             case _:
@@ -351,74 +357,6 @@
         message = encode_decline(opening, reason, now)
         self._transport.send_to_node(opening.front, message)
 
-    # Later packets.
-
-    def _handle_later_packet(
-        self, packet: bytes, sender: str, now: float, *, is_search: bool
-    ) -> None:
-        if not packets.is_packet(packet):
-            self._events.count("messages.unreadable")
-            return
-        flow = packets.get_flow(packet)
-        entry = self._flows.get(flow)
-        if entry is None:
-            self._handle_unknown_flow(packet, flow, sender, now, is_search=is_search)
-            return
-        if not entry.is_acknowledged_by(packet):
-            self._report_not_held(
-                packet,
-                flow,
-                sender,
-                "acknowledgement of another flow",
-                is_search=is_search,
-            )
-            return
-        self._flows.record_caller_packet(entry, packet, now)
-        entry.front = sender
-        if is_search:
-            self._replies.send_held(flow, sender)
-        self._send_to_host(packet, sender, is_search=is_search)
-
-    def _handle_relayed_search(self, message: bytes, now: float) -> None:
-        """Handle a search that another gate has relayed for a front."""
-        search = decode_relayed_search(message)
-        if search is None:
-            self._events.count("messages.unreadable")
-            return
-        self._handle_later_packet(search.packet, search.front, now, is_search=True)
-
-    def _handle_search(self, message: bytes, front: str, now: float) -> None:
-        """Handle a front's search and relay it to the target gates."""
-        request = decode_search_request(message)
-        if request is None or not packets.is_packet(request.packet):
-            self._events.count("messages.unreadable")
-            return
-        relayed = encode_relayed_search(front, request.packet)
-        for ip in request.targets:
-            self._transport.send_to_node(ip, relayed)
-        self._handle_later_packet(request.packet, front, now, is_search=True)
-
-    def _handle_unknown_flow(
-        self, packet: bytes, flow: bytes, sender: str, now: float, *, is_search: bool
-    ) -> None:
-        if not self._older_flows.may_exist(now):
-            self._report_not_held(packet, flow, sender, "not held", is_search=is_search)
-            return
-        # Only the host knows the flows that it held before this gate started.
-        if is_search:
-            self._older_flows.start_probe(flow, sender, now)
-        self._events.count("flows.asked_host")
-        self._send_to_host(packet, sender, is_search=is_search)
-
-    def _report_not_held(
-        self, packet: bytes, flow: bytes, front: str, reason: str, *, is_search: bool
-    ) -> None:
-        """Notify a front that the host does not hold the flow of a packet."""
-        if is_search:
-            self._replies.send_not_held(flow, front, reason)
-        else:
-            self._replies.send_stray(packet, flow, front, reason)
-
     # Packets from the host.
 
     def handle_host_packet(self, packet: bytes, now: float) -> None:
@@ -473,7 +411,7 @@
             # The last packets of an ended flow need no holder.
             return
         reason = "bounced by the host"
-        self._report_not_held(
+        self._later_packets.report_not_held(
             restored, flow, origin.front, reason, is_search=origin.is_search
         )
 
--- a/src/balsamstream/flows/searches.py
+++ b/src/balsamstream/flows/searches.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final, Protocol
+from typing import TYPE_CHECKING, Final
 
 from balsamstream.platform import packets
 
@@ -22,6 +22,7 @@
     from .events import Events
     from .fleet import Fleet
     from .placement import Host
+    from .transport import PacketTransport
 
 WIDE_GATES_PER_S: Final = 2_000
 """Gates of other services that a front asks; their denials take 0.7 Mbit/s of its
@@ -39,22 +40,12 @@
 MAX_LOGGED_GATES: Final = 8
 
 
-class SearchTransport(Protocol):
-    """Sends the packets and messages of searches."""
-
-    def send_to_gate(self, address: tuple[str, int], message: bytes) -> None:
-        """Send a message to a gate."""
-
-    def send_to_caller(self, packet: bytes) -> None:
-        """Send a packet to its caller."""
-
-
 class Searches:
     """Runs searches and resets the flows that no host holds.
 
     Parameters
     ----------
-    transport : SearchTransport
+    transport : PacketTransport
         Sends packets and messages.
     events : Events
         Logs and counts decisions.
@@ -63,7 +54,7 @@
     """
 
     def __init__(
-        self, transport: SearchTransport, events: Events, fleet: Fleet
+        self, transport: PacketTransport, events: Events, fleet: Fleet
     ) -> None:
         self._transport = transport
         self._events = events
@@ -260,4 +251,4 @@
         )
 
 
-__all__ = ["WIDE_GATES_BURST", "SearchTransport", "Searches"]
+__all__ = ["WIDE_GATES_BURST", "Searches"]
--- a/src/balsamstream/node/discovery.py
+++ b/src/balsamstream/node/discovery.py
@@ -13,11 +13,10 @@
     read_node,
     write_node,
 )
-from balsamstream.platform.store import (
+from balsamstream.platform.stored_objects import (
     Conflict,
     Listing,
     ObjectKind,
-    StoreClient,
     StoredObject,
     Unavailable,
     Written,
@@ -26,6 +25,8 @@
 from .store_watcher import wait_before_retry
 
 if TYPE_CHECKING:
+    from balsamstream.platform.store import StoreClient
+
     from .events import NodeEvents
 
 
--- a/src/balsamstream/node/flow_saver.py
+++ b/src/balsamstream/node/flow_saver.py
@@ -10,11 +10,10 @@
     read_saved_flows,
     write_saved_flows,
 )
-from balsamstream.platform.store import (
+from balsamstream.platform.stored_objects import (
     Conflict,
     NotStored,
     ObjectKind,
-    StoreClient,
     StoredObject,
     Unavailable,
     Written,
@@ -26,6 +25,7 @@
     from collections.abc import Callable
 
     from balsamstream.flows.held_flows import SavedFlow
+    from balsamstream.platform.store import StoreClient
 
     from .events import NodeEvents
 
--- a/src/balsamstream/node/front.py
+++ b/src/balsamstream/node/front.py
@@ -12,8 +12,8 @@
 from balsamstream.http.server import Request, Response
 from balsamstream.platform import packets
 from balsamstream.platform.documents import MalformedDocument, read_desired_state
-from balsamstream.platform.store import (
-    DESIRED_STATE_NAME,
+from balsamstream.platform.store import DESIRED_STATE_NAME
+from balsamstream.platform.stored_objects import (
     ObjectKind,
     StoredObject,
     StorePosition,
--- a/src/balsamstream/node/store_watcher.py
+++ b/src/balsamstream/node/store_watcher.py
@@ -6,12 +6,11 @@
 import random
 from typing import TYPE_CHECKING, Final
 
-from balsamstream.platform.store import (
+from balsamstream.platform.stored_objects import (
     Changes,
     HistoryGone,
     Listing,
     ObjectKind,
-    StoreClient,
     StoredObject,
     StorePosition,
     Unavailable,
@@ -20,6 +19,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from balsamstream.platform.store import StoreClient
+
     from .events import NodeEvents
 
 BASE_DELAY_S: Final = 0.2
--- a/tests/flows/test_front_load.py
+++ b/tests/flows/test_front_load.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from balsamstream.flows.front import ATTEMPT_S, MAX_PLACEMENTS, Front
+from balsamstream.flows.front import Front
 from balsamstream.flows.load_policy import LoadPolicy
 from balsamstream.flows.messages import (
     LOAD_MESSAGE,
@@ -28,6 +28,7 @@
     decode_control,
     encode_control,
 )
+from balsamstream.flows.openings import ATTEMPT_S, MAX_PLACEMENTS
 from balsamstream.platform import packets
 from standins.flow_host import RST, SYN, Packet, decode
 
--- a/tests/node/test_store_watcher.py
+++ b/tests/node/test_store_watcher.py
@@ -10,14 +10,20 @@
 from balsamstream.node.logs import Logs
 from balsamstream.node.metrics import Metrics
 from balsamstream.node.store_watcher import StoreWatcher
-from balsamstream.platform.store import ObjectKind, StoreClient, StorePosition
+from balsamstream.platform.store import StoreClient
+from balsamstream.platform.stored_objects import (
+    ObjectKind,
+    StorePosition,
+)
 
 from .test_discovery import run_store
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from balsamstream.platform.store import StoredObject
+    from balsamstream.platform.stored_objects import (
+        StoredObject,
+    )
     from standins.object_store import ObjectStore, StoreCopy
 
 WITHIN_S = 4.0
