Count a service time that nobody has reported as the default everywhere

Cause: right after a return no host has reported service times. The same fallback stood in three places.

Ruled out: a special case in can_answer; the estimator's typical time is what all read.

Change: get_typical_service_s returns the default where no host has reported, and nothing after it handles None. The new test places 121 flows on one host; before, all fit.

Kept as it is less code and mends the decision.

--- a/src/balsamstream/flows/choice.py
+++ b/src/balsamstream/flows/choice.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from .delay import DEFAULT_SERVICE_S, DelayEstimator
+from .delay import DelayEstimator
 from .placement import choose_host, is_usable
 
 if TYPE_CHECKING:
@@ -119,7 +119,7 @@
         self,
         usable: Sequence[Host],
         flow: NewFlow,
-        typical_s: float | None,
+        typical_s: float,
         now: float,
     ) -> tuple[Host, float]:
         """Choose among hosts that may get the flow, of which there is at least one.
@@ -134,8 +134,7 @@
             return self._estimator.choose(rested or usable, flow, typical_s, now)
         host = choose_host(usable, self._data_centre, (), (), now, flow.key)
         host = host or usable[0]
-        fallback_s = DEFAULT_SERVICE_S if typical_s is None else typical_s
-        service_s = host.service_times.get(flow.route_tag, fallback_s)
+        service_s = host.service_times.get(flow.route_tag, typical_s)
         return host, self._estimator.estimate(host, service_s, now)
 
 
--- a/src/balsamstream/flows/delay.py
+++ b/src/balsamstream/flows/delay.py
@@ -87,7 +87,7 @@
 
     def get_typical_service_s(
         self, peers: Iterable[Host], flow: NewFlow, now: float
-    ) -> float | None:
+    ) -> float:
         """Return the median service time of a route at its hosts.
 
         Parameters
@@ -101,23 +101,23 @@
 
         Returns
         -------
-        float or None
-            Time in seconds, or None if no host has reported it.
+        float
+            Time in seconds; the default while no host has reported it.
         """
         key = (flow.service, flow.route_tag)
-        median_s, until = self._typical.get(key, (0.0, -math.inf))
+        median_s, until = self._typical.get(key, (DEFAULT_SERVICE_S, -math.inf))
         if now >= until:
             median_s = _compute_median(peers, flow.route_tag)
             if len(self._typical) >= MAX_TYPICAL:
                 self._typical.clear()
             self._typical[key] = (median_s, now + TYPICAL_LIFETIME_S)
-        return None if math.isnan(median_s) else median_s
+        return median_s
 
     def can_answer(
         self,
         host: Host,
         flow: NewFlow,
-        typical_s: float | None,
+        typical_s: float,
         left_s: float,
         now: float,
     ) -> bool:
@@ -129,7 +129,7 @@
         """
         if not is_wait_known(host, now):
             return not flow.has_waited or host.estimate_queue(now) < 1.0
-        service_s = host.service_times.get(flow.route_tag, typical_s or 0.0)
+        service_s = host.service_times.get(flow.route_tag, typical_s)
         return self.estimate_soonest(host, service_s, now) <= left_s
 
     def estimate_soonest(self, host: Host, service_s: float, now: float) -> float:
@@ -174,7 +174,7 @@
         self,
         hosts: Sequence[Host],
         flow: NewFlow,
-        typical_s: float | None,
+        typical_s: float,
         now: float,
     ) -> tuple[Host, float]:
         """Choose the host with the least expected time.
@@ -185,8 +185,8 @@
             Usable hosts, at least one.
         flow : NewFlow
             The flow.
-        typical_s : float or None
-            Median service time of the route at all hosts, in seconds, if known.
+        typical_s : float
+            Median service time of the route at all hosts, in seconds.
         now : float
             Time, in seconds.
 
@@ -195,16 +195,15 @@
         Host, float
             The host and the expected time there, in seconds.
         """
-        fallback_s = DEFAULT_SERVICE_S if typical_s is None else typical_s
         tag = flow.route_tag
         times = [
-            self.estimate(host, host.service_times.get(tag, fallback_s), now)
+            self.estimate(host, host.service_times.get(tag, typical_s), now)
             for host in hosts
         ]
         least_s = min(times)
         soonest = hosts[times.index(least_s)]
         uncertainty_s = max(
-            MIN_UNCERTAINTY * fallback_s,
+            MIN_UNCERTAINTY * typical_s,
             _compute_utilisation(hosts) * _get_blind_time(soonest, now),
         )
         point = zlib.crc32(flow.key, self._seed)
@@ -273,7 +272,7 @@
         for host in peers
         if route_tag in host.service_times
     ]
-    return statistics.median(known) if known else math.nan
+    return statistics.median(known) if known else DEFAULT_SERVICE_S
 
 
 _MASK: Final = 0xFFFF_FFFF_FFFF_FFFF
--- a/tests/flows/test_delay.py
+++ b/tests/flows/test_delay.py
@@ -540,3 +540,20 @@
     assert count_chosen(hosts, flows=20) == {"10.0.0.2": 20}
     hosts[1].avoid_until = NOW + 0.1
     assert count_chosen(hosts, flows=20) == {"10.0.0.1": 20}
+
+
+def test_host_with_many_unreported_flows_is_too_late_before_any_service_time() -> None:
+    """Guards against all callers of an outage at the one gate that is heard first."""
+    chooser = HostChooser(BY_DEADLINE, "10.1.0.1", "medina")
+    host = build_host("10.1.0.11", "medina", 1)
+    host.record_load(0, 0, NOW)
+    placed = 0
+    for number in range(121):
+        flow = NewFlow(number.to_bytes(12), SERVICE, ROUTE_TAG)
+        choice = chooser.choose([host], flow, (), (), 1.5, NOW)
+        if choice.host is None:
+            assert choice.reason == "overload"
+            continue
+        host.record_placement(NOW)
+        placed += 1
+    assert 20 < placed <= 60
