Tell in the log which gates a lost flow's search left out, and whose flows ended

Callers saw flows reset though their hosts were sound, as far as they could tell. The log could not say whether that was so: `lost` gave only the number of gates that had denied a flow, `flows_reset` only the new incarnation.

`flows_reset` gives the incarnations with which the flows were recorded, the age of the youngest, how many an earlier run had saved, and the gate's silence before the report. A gate's `host_started` gives the age of the former incarnation's last heartbeat and the flows that it discards. Four counters give the causes of resets. No decision changes.

tests/flows/test_reset_logs.py holds each field to its case, and the reason to `may_hold_flows`.

--- a/src/balsamstream/flows/flow_table.py
+++ b/src/balsamstream/flows/flow_table.py
@@ -189,6 +189,10 @@
             self._flows[flow] = entry
         return entry
 
+    def count_answered_since(self, at: float) -> int:
+        """Count the flows whose opening packet the host has answered since a time."""
+        return sum(entry.answered_at > at for entry in self._flows.values())
+
     def remove(self, flow: bytes) -> None:
         """Remove a flow."""
         entry = self._flows.pop(flow, None)
--- a/src/balsamstream/flows/front.py
+++ b/src/balsamstream/flows/front.py
@@ -12,7 +12,7 @@
 
 from .choice import HostChooser
 from .fleet import Fleet, FleetTransport
-from .held_flows import HeldFlows
+from .held_flows import HeldFlows, describe_ended
 from .hints import Hints
 from .load_policy import DEFAULT_POLICY, LoadPolicy
 from .messages import Kind
@@ -142,29 +142,56 @@
             case Kind.NOT_HELD:
                 self._searches.handle_not_held(message[1:], sender, now)
             case Kind.CONTROL:
-                restarted = self.fleet.handle_control(message, sender, now)
-                if restarted is not None:
-                    self._reset_ended(restarted, now)
+                self._handle_control(message, sender, now)
             case _:
                 self._events.count("messages.unknown")
 
+    def _handle_control(self, message: bytes, sender: str, now: float) -> None:
+        silence_s = self._get_silence_s(sender, now)
+        restarted = self.fleet.handle_control(message, sender, now)
+        if restarted is not None:
+            self._reset_ended(restarted, silence_s, now)
+
+    def _get_silence_s(self, ip: str, now: float) -> float | None:
+        """Return the time since a gate was heard, None if it never was."""
+        host = self.fleet.find_host(ip)
+        if host is None or host.sequence < 0:
+            return None
+        return round(now - host.last_heard_at, 3)
+
     def restore_flows(self, flows: list[SavedFlow], now: float) -> None:
         """Add the flows that an earlier run has saved, and reset those that ended."""
         self.held_flows.restore(flows)
         for host in self.fleet.iterate_all_hosts():
-            self._reset_ended(host, now)
-
-    def _reset_ended(self, host: Host, now: float) -> None:
-        """Reset the flows that ended when a host restarted."""
+            self._reset_ended(host, self._get_silence_s(host.ip, now), now)
+
+    def _reset_ended(self, host: Host, silence_s: float | None, now: float) -> None:
+        """Reset the flows that ended when a host restarted.
+
+        Parameters
+        ----------
+        host : Host
+            Host with its present incarnation.
+        silence_s : float or None
+            Time since the gate was heard before, in seconds, for the log.
+        now : float
+            Time, in seconds.
+        """
         ended = self.held_flows.pop_ended(host.ip, host.incarnation, now)
         if not ended:
             return
-        for flow, ack in ended.items():
+        for flow, held in ended.items():
             self._searches.end(flow)
             self._hints.remove(flow)
-            self._transport.send_to_caller(packets.build_flow_reset(flow, ack))
+            self._transport.send_to_caller(packets.build_flow_reset(flow, held.ack))
+            self._events.count("resets.restored" if held.is_saved else "resets.ended")
         self._events.emit(
-            "flows_reset", host=host.ip, flows=len(ended), incarnation=host.incarnation
+            "flows_reset",
+            host=host.ip,
+            flows=len(ended),
+            incarnation=host.incarnation,
+            heard_before_s=silence_s,
+            **describe_ended(ended.values(), now),
         )
 
     def _handle_stray(self, packet: bytes, sender: str, now: float) -> None:
--- a/src/balsamstream/flows/gate.py
+++ b/src/balsamstream/flows/gate.py
@@ -173,6 +173,7 @@
         """Handle a heartbeat of the host."""
         before = self.state
         incarnation = self._host.incarnation
+        heard_at = now - self._host.get_heartbeat_age_s(now)
         match self._host.apply(heartbeat, now):
             case HeartbeatOutcome.OTHER_SERVICE:
                 self._events.emit(
@@ -187,7 +188,7 @@
                 self._events.count("heartbeats.late")
                 return
             case HeartbeatOutcome.NEW_INCARNATION:
-                self._start_incarnation(heartbeat, incarnation, now)
+                self._start_incarnation(heartbeat, incarnation, heard_at, now)
         self._flows.work.set_slots(self._host.slots)
         self._admission.cold_limit.set_cold_until(now + heartbeat.cold_left_s)
         if self._answers is not None:
@@ -207,7 +208,12 @@
         if self.state is not before:
             self._handle_state_change("host left", now)
 
-    def _start_incarnation(self, heartbeat: Heartbeat, before: int, now: float) -> None:
+    def _start_incarnation(
+        self, heartbeat: Heartbeat, before: int, heard_at: float, now: float
+    ) -> None:
+        """Discard the flows of the former incarnation, which was heard last then."""
+        flows = len(self._flows)
+        opened = self._flows.count_answered_since(heard_at)
         if before:
             self._handle_host_end(now)
         # A host that has just started holds no flow that this gate has not seen.
@@ -220,6 +226,9 @@
             heartbeat=heartbeat.sequence,
             cold_left_s=heartbeat.cold_left_s,
             before=before,
+            heartbeat_age_s=round(now - heard_at, 3),
+            discarded=flows if before else 0,
+            discarded_opened=opened if before else 0,
         )
 
     def _handle_host_end(self, now: float) -> None:
--- a/src/balsamstream/flows/held_flows.py
+++ b/src/balsamstream/flows/held_flows.py
@@ -19,7 +19,7 @@
 from .hints import Hints
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Collection, Iterable, Iterator
 
 MIN_AGE_S: Final = 1.0
 """Age below which a flow may have been opened at the incarnation whose first report is
@@ -49,6 +49,11 @@
     ack: int
     opened_at: float
 
+    @property
+    def is_saved(self) -> bool:
+        """Whether an earlier run has recorded the flow."""
+        return self.opened_at == -math.inf
+
 
 @dataclass(frozen=True, slots=True)
 class SavedFlow:
@@ -92,7 +97,9 @@
         """Remove a flow that has ended, or whose holder is in doubt."""
         self._flows.remove(flow)
 
-    def pop_ended(self, host: str, incarnation: int, now: float) -> dict[bytes, int]:
+    def pop_ended(
+        self, host: str, incarnation: int, now: float
+    ) -> dict[bytes, HeldFlow]:
         """Remove the flows that ended with earlier incarnations of a host.
 
         Parameters
@@ -106,11 +113,11 @@
 
         Returns
         -------
-        dict of bytes to int
-            The caller's last acknowledgement number by flow.
+        dict of bytes to HeldFlow
+            The records of the flows.
         """
         ended = {
-            flow: held.ack
+            flow: held
             for flow, held in self._flows.items()
             if held.host == host
             and 0 < held.incarnation < incarnation
@@ -142,4 +149,37 @@
         self._flows.tick(now)
 
 
-__all__ = ["MAX_SAVED", "MIN_AGE_S", "HeldFlow", "HeldFlows", "SavedFlow"]
+def describe_ended(flows: Collection[HeldFlow], now: float) -> dict[str, object]:
+    """Return the log fields of flows that ended with earlier incarnations of a host.
+
+    Parameters
+    ----------
+    flows : collection of HeldFlow
+        The flows, at least one.
+    now : float
+        Time, in seconds.
+
+    Returns
+    -------
+    dict of str to object
+        First and last incarnation with which they were recorded, how many an earlier
+        run has saved, and the age of the youngest other one, None if there is none.
+    """
+    incarnations = [held.incarnation for held in flows]
+    ages_s = [now - held.opened_at for held in flows if not held.is_saved]
+    return {
+        "recorded_first": min(incarnations),
+        "recorded_last": max(incarnations),
+        "restored": len(flows) - len(ages_s),
+        "youngest_s": round(min(ages_s), 3) if ages_s else None,
+    }
+
+
+__all__ = [
+    "MAX_SAVED",
+    "MIN_AGE_S",
+    "HeldFlow",
+    "HeldFlows",
+    "SavedFlow",
+    "describe_ended",
+]
--- a/src/balsamstream/flows/openings.py
+++ b/src/balsamstream/flows/openings.py
@@ -258,6 +258,7 @@
             return
         if self._declined_by.get(flow) is None:
             self._declined_by.put(flow, set())
+        self._events.count("resets.refused")
         self._transport.send_to_caller(packets.build_reset(packet))
 
     def handle_declined(self, message: bytes, sender: str, now: float) -> None:
--- a/src/balsamstream/flows/placement.py
+++ b/src/balsamstream/flows/placement.py
@@ -152,6 +152,16 @@
         timeout_s = EMPTY_TIMEOUT_S if self.is_empty else LOST_TIMEOUT_S
         return self.asked_at is None or now - self.asked_at < timeout_s
 
+    def explain_absence(self, now: float) -> str:
+        """Return why no flows may be at the host, empty if some may be."""
+        if self.may_hold_flows(now):
+            return ""
+        if self.state is HostState.GONE:
+            return "gone"
+        if self.is_marked_left and self.state is HostState.UNKNOWN:
+            return "left"
+        return "empty" if self.is_empty else "silent"
+
     def record_asked(self, now: float) -> None:
         """Record that the gate was sent a message that it answers."""
         if self.asked_at is None:
--- a/src/balsamstream/flows/searches.py
+++ b/src/balsamstream/flows/searches.py
@@ -13,6 +13,7 @@
 
 from balsamstream.platform import packets
 
+from .absence import describe_absences
 from .messages import encode_search_request
 from .rate_limit import RateLimit
 from .search import Search, plan_relays, start_search
@@ -173,14 +174,14 @@
         if not search.is_wide or self._has_candidates(search, route, now):
             return
         if search.denied_by and self._fleet.knows_all_gates(now):
-            self._reset(flow, search, now)
+            self._reset(flow, search, route, now)
 
     def _has_candidates(self, search: Search, route: Route, now: float) -> bool:
         """Return whether a gate in the scope of a search may hold the flow."""
         targets = self._list_targets(search, route)
         return any(host.may_hold_flows(now) for host in targets)
 
-    def _reset(self, flow: bytes, search: Search, now: float) -> None:
+    def _reset(self, flow: bytes, search: Search, route: Route, now: float) -> None:
         """Reset a flow that no host holds."""
         del self._searches[flow]
         flags = packets.get_flags(search.packet)
@@ -190,8 +191,10 @@
             gates=len(search.denied_by),
             flags=flags,
             search_s=round(now - search.started_at, 4),
+            **describe_absences(self._list_targets(search, route), now),
         )
         if not flags & packets.RST:
+            self._events.count("resets.denied")
             self._transport.send_to_caller(packets.build_reset(search.packet))
 
     def tick(self, now: float) -> None:
