Show that a front forgets to await a gate after a cut that has healed

What callers see: a flow is reset though its host is sound. A front asks a silent gate once (Fleet.ask_gate) and counts it as lost after three seconds; asked_at stays set until the gate is heard, which is never if it is no contact. Every later search there skips it.

Evidence: the gate's link is cut for 3.5 s and healed for 6 s, then its answer to a search comes after the others' denials: the flow is reset. Without the cut it is awaited (the control test passes). Fails on this code; listed as red.

--- /dev/null
+++ b/tests/flows/test_sound_flows.py
@@ -0,0 +1,141 @@
+"""Flows of sound hosts, which no node may reset on outdated knowledge."""
+
+from __future__ import annotations
+
+import pytest
+
+from balsamstream.flows.heartbeat import HostState
+from balsamstream.flows.placement import LOST_TIMEOUT_S
+from standins.flow_host import RST, FlowHost
+from tests.flows.deployment import Caller, Deployment, GateNode
+
+OPENING_FRONT = "10.2.0.1"
+OTHER_FRONT = "10.1.0.1"
+FRONTS = {
+    OPENING_FRONT: "sakiet",
+    "10.2.0.2": "sakiet",
+    "10.2.0.3": "sakiet",
+    OTHER_FRONT: "medina",
+    "10.3.0.1": "thyna",
+}
+GATES = tuple(f"10.2.0.{number}" for number in range(11, 21))
+CONTACT_S = 5.0
+"""Time after which rule FLOW no longer excuses a restart of the host."""
+KNOWN_RED = pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: issue 29")
+
+
+@pytest.fixture
+def deployment() -> Deployment:
+    """Build more gates in one data centre than a front elsewhere is in contact with."""
+    deployment = Deployment()
+    for ip in GATES:
+        deployment.add_gate(ip, "sakiet")
+    deployment.add_gate("10.1.0.11", "medina")
+    deployment.add_gate("10.3.0.11", "thyna")
+    for ip, data_centre in FRONTS.items():
+        deployment.add_front(ip, data_centre)
+    deployment.pass_time(CONTACT_S + 1.0)
+    return deployment
+
+
+def take_resets(deployment: Deployment) -> list[int]:
+    """Return the caller's port of each reset so far."""
+    return [
+        packet.target[1] for packet, _ in deployment.to_callers if packet.flags & RST
+    ]
+
+
+def keep_only_ready(deployment: Deployment, gate: GateNode) -> None:
+    """Let all hosts but one drain, so that each new flow is placed there."""
+    for each in deployment.gates.values():
+        each.state = HostState.READY if each is gate else HostState.DRAINING
+        each.send_heartbeat()
+    deployment.run()
+
+
+def make_all_ready(deployment: Deployment) -> None:
+    """Let no host drain."""
+    for each in deployment.gates.values():
+        each.state = HostState.READY
+        each.send_heartbeat()
+    deployment.run()
+
+
+def open_flow(deployment: Deployment, gate: GateNode, port: int = 40_001) -> Caller:
+    """Open a flow at a host through the first front, with a request on it."""
+    keep_only_ready(deployment, gate)
+    caller = Caller(deployment, port)
+    caller.open(OPENING_FRONT)
+    caller.send_request(OPENING_FRONT)
+    caller.acknowledge(OPENING_FRONT)
+    assert caller.get_holder() is gate
+    make_all_ready(deployment)
+    return caller
+
+
+def restart_host(gate: GateNode) -> None:
+    """Restart a host, whose first heartbeat is still on its way."""
+    gate.host = FlowHost(gate.host.number + 100_000)
+    gate.incarnation += 1
+    gate.heartbeats = 0
+
+
+def find_stranger(deployment: Deployment) -> GateNode:
+    """Return a gate that the front elsewhere is not in contact with."""
+    fleet = deployment.fronts[OTHER_FRONT].front.fleet
+    for ip in GATES:
+        host = fleet.find_host(ip)
+        if host is not None and not host.is_alive(deployment.now):
+            return deployment.gates[ip]
+    raise AssertionError("the front is in contact with all gates")
+
+
+def open_before_first_heartbeat(deployment: Deployment, gate: GateNode) -> Caller:
+    """Open a flow at a host that has restarted; its first heartbeat comes after it."""
+    keep_only_ready(deployment, gate)
+    restart_host(gate)
+    caller = Caller(deployment)
+    caller.open(OPENING_FRONT)
+    caller.send_request(OPENING_FRONT)
+    gate.send_heartbeat()
+    make_all_ready(deployment)
+    deployment.pass_time(CONTACT_S + 1.0)
+    assert caller.get_holder() is gate
+    return caller
+
+
+def search_with_late_answer(
+    deployment: Deployment, caller: Caller, holder: GateNode
+) -> None:
+    """Send a request through the second front; the holder's answer comes last."""
+    deployment.blocked_links.add((holder.ip, OTHER_FRONT))
+    caller.send_request(OTHER_FRONT, b"more")
+    deployment.blocked_links.discard((holder.ip, OTHER_FRONT))
+
+
+def test_gate_that_answers_late_is_awaited(deployment: Deployment) -> None:
+    """A front that knows nothing against a gate waits for its answer."""
+    gate = find_stranger(deployment)
+    caller = open_flow(deployment, gate)
+    search_with_late_answer(deployment, caller, gate)
+    assert take_resets(deployment) == []
+    deployment.pass_time(0.5)
+    assert take_resets(deployment) == []
+
+
+@KNOWN_RED
+def test_gate_behind_a_healed_link_is_awaited(deployment: Deployment) -> None:
+    """A front that a cut kept from a gate asks it again before it resets a flow."""
+    gate = find_stranger(deployment)
+    front = deployment.fronts[OTHER_FRONT]
+    cut = {(gate.ip, OTHER_FRONT), (OTHER_FRONT, gate.ip)}
+    deployment.blocked_links |= cut
+    host = front.front.fleet.find_host(gate.ip)
+    assert host is not None
+    front.front.fleet.ask_gate(host, deployment.now)
+    deployment.pass_time(LOST_TIMEOUT_S + 0.5)
+    deployment.blocked_links -= cut
+    deployment.pass_time(CONTACT_S + 1.0)
+    caller = open_flow(deployment, gate)
+    search_with_late_answer(deployment, caller, gate)
+    assert take_resets(deployment) == []
