Show that a front does not await a gate whose entry is outdated

What callers see: a flow is reset though its host is sound. An entry says that the host has left until its gate has corrected it; a front that starts meanwhile skips the gate in every search (is_marked_left) until the gate reports to it, which is never if it is no contact.

Evidence: the front starts with such an entry; 6 s later the gate's answer comes after the others' denials: the flow is reset. Fails on this code; listed as red.

--- a/tests/flows/test_sound_flows.py
+++ b/tests/flows/test_sound_flows.py
@@ -139,3 +139,17 @@
     caller = open_flow(deployment, gate)
     search_with_late_answer(deployment, caller, gate)
     assert take_resets(deployment) == []
+
+
+@KNOWN_RED
+def test_gate_whose_entry_is_outdated_is_awaited(deployment: Deployment) -> None:
+    """A front that starts does not rely on an entry that says that a host left."""
+    gate = find_stranger(deployment)
+    caller = open_flow(deployment, gate)
+    node = deployment.fronts[OTHER_FRONT]
+    node.start()
+    names = deployment.list_names()
+    node.front.fleet.add_listed_nodes(names, deployment.now, {gate.ip})
+    deployment.pass_time(CONTACT_S + 1.0)
+    search_with_late_answer(deployment, caller, gate)
+    assert take_resets(deployment) == []
