Show that a front does not await a gate whose next host it has not heard of

What callers see: a flow is reset though its host is sound. A front is told that a host has left, is no contact when the next host starts, and skips the gate in every search.

Evidence: 6 s after the start of the next host the gate's answer to a search comes after the others' denials: the flow is reset. Fails on this code; listed as red.

--- a/tests/flows/test_sound_flows.py
+++ b/tests/flows/test_sound_flows.py
@@ -153,3 +153,24 @@
     deployment.pass_time(CONTACT_S + 1.0)
     search_with_late_answer(deployment, caller, gate)
     assert take_resets(deployment) == []
+
+
+@KNOWN_RED
+def test_gate_whose_host_has_come_back_is_awaited(deployment: Deployment) -> None:
+    """A front that was told that a host left does not rely on it for ever."""
+    gate = find_stranger(deployment)
+    fleet = deployment.fronts[OTHER_FRONT].front.fleet
+    host = fleet.find_host(gate.ip)
+    assert host is not None
+    fleet.keep_contact(host, deployment.now)
+    deployment.run()
+    gate.gate.handle_leave(f"i-{gate.ip}", deployment.now)
+    gate.sends_heartbeats = False
+    deployment.pass_time(10.0)
+    restart_host(gate)
+    gate.sends_heartbeats = True
+    gate.send_heartbeat()
+    deployment.pass_time(CONTACT_S + 1.0)
+    caller = open_flow(deployment, gate)
+    search_with_late_answer(deployment, caller, gate)
+    assert take_resets(deployment) == []
