Show that a flow is reset between a host's last message and its exit

What callers see: a flow is reset in the moment between the host's last message and its exit, though the host still holds it. Fronts do not await the gate of a host that has left.

Evidence: the gate's answer to a search comes after the others' denials: the flow is reset. Fails on this code; listed as red.

--- a/tests/flows/test_sound_flows.py
+++ b/tests/flows/test_sound_flows.py
@@ -174,3 +174,20 @@
     caller = open_flow(deployment, gate)
     search_with_late_answer(deployment, caller, gate)
     assert take_resets(deployment) == []
+
+
+@KNOWN_RED
+def test_gate_whose_host_is_about_to_exit_is_awaited(deployment: Deployment) -> None:
+    """A host that has sent its last message may still hold flows for a moment."""
+    gate = find_stranger(deployment)
+    fleet = deployment.fronts[OTHER_FRONT].front.fleet
+    caller = open_flow(deployment, gate)
+    host = fleet.find_host(gate.ip)
+    assert host is not None
+    fleet.keep_contact(host, deployment.now)
+    deployment.run()
+    gate.gate.handle_leave(f"i-{gate.ip}", deployment.now)
+    gate.sends_heartbeats = False
+    deployment.run()
+    search_with_late_answer(deployment, caller, gate)
+    assert take_resets(deployment) == []
