Show that a gate forgets the flows opened before its host's first heartbeat

What callers see: a flow that opened right after a host's restart is reset after a pause. A host that is away for less than 2.7 s stays ready at its gate. The new incarnation accepts opening packets before its first heartbeat is handled; Gate._start_incarnation then clears all flows and records that the gate has seen every flow, so it denies these with certainty.

Fails on this code; listed as red.

--- a/tests/flows/test_sound_flows.py
+++ b/tests/flows/test_sound_flows.py
@@ -191,3 +191,15 @@
     deployment.run()
     search_with_late_answer(deployment, caller, gate)
     assert take_resets(deployment) == []
+
+
+@KNOWN_RED
+def test_flow_opened_before_the_first_heartbeat_of_a_host_is_not_reset(
+    deployment: Deployment,
+) -> None:
+    """A flow of a new incarnation goes on, even if it opened before its heartbeat."""
+    gate = deployment.gates[GATES[0]]
+    caller = open_before_first_heartbeat(deployment, gate)
+    caller.send_request(OPENING_FRONT, b"more")
+    deployment.pass_time(0.5)
+    assert take_resets(deployment) == []
