Show that a restored flow is reset for the incarnation it was opened at

What callers see: a flow that opened right after a host's restart is reset when the front restarts. The front records and saves the former incarnation; MIN_AGE_S spares the record once but leaves it wrong, and a restored record has no age.

Evidence: no packet of the caller since; the front restarts 6 s after the host and resets the flow, which its host holds. Fails on this code; listed as red.

--- a/tests/flows/test_sound_flows.py
+++ b/tests/flows/test_sound_flows.py
@@ -203,3 +203,19 @@
     caller.send_request(OPENING_FRONT, b"more")
     deployment.pass_time(0.5)
     assert take_resets(deployment) == []
+
+
+@KNOWN_RED
+def test_saved_flow_opened_before_the_first_heartbeat_is_not_reset(
+    deployment: Deployment,
+) -> None:
+    """A restored flow is not reset for an incarnation that it was opened at."""
+    caller = open_before_first_heartbeat(deployment, deployment.gates[GATES[0]])
+    front = deployment.fronts[OPENING_FRONT]
+    saved = front.front.held_flows.list_saved()
+    front.start()
+    front.find_nodes()
+    front.front.restore_flows(saved, deployment.now)
+    deployment.pass_time(1.0)
+    assert caller.get_holder() is deployment.gates[GATES[0]]
+    assert take_resets(deployment) == []
