Show that a front that learns late of a restart resets the flows opened since

What callers see: a flow is reset though its host is sound. A front judges its flows by the incarnation that it believed in when it forwarded their first packet.

Evidence: reports of a gate are lost for 6 s from its host's restart on; the first one after that resets a flow that was opened at the new incarnation. Fails on this code; listed as red.

--- a/tests/flows/test_sound_flows.py
+++ b/tests/flows/test_sound_flows.py
@@ -219,3 +219,24 @@
     deployment.pass_time(1.0)
     assert caller.get_holder() is deployment.gates[GATES[0]]
     assert take_resets(deployment) == []
+
+
+@KNOWN_RED
+def test_flow_of_a_host_whose_restart_is_learnt_late_is_not_reset(
+    deployment: Deployment,
+) -> None:
+    """A front that hears late of a restart keeps the flows opened since then."""
+    gate = deployment.gates[GATES[0]]
+    keep_only_ready(deployment, gate)
+    deployment.blocked_links.add((gate.ip, OPENING_FRONT))
+    restart_host(gate)
+    gate.send_heartbeat()
+    deployment.run()
+    caller = Caller(deployment)
+    caller.open(OPENING_FRONT)
+    caller.send_request(OPENING_FRONT)
+    deployment.pass_time(CONTACT_S + 1.0)
+    assert caller.get_holder() is gate
+    deployment.blocked_links.clear()
+    deployment.pass_time(1.0)
+    assert take_resets(deployment) == []
