Show that a front resets the flow of a gate that it does not know yet

What callers see: a flow at a host that has just been added is reset. Directory.is_complete stays true once the store has listed the nodes. A gate reads entries that may be seconds old, so a front and a gate that start at the same time may both miss each other until a third node names one to the other.

Evidence: a flow opened at such a gate moves to such a front and is reset at once. Fails on this code; listed as red.

--- a/tests/flows/test_sound_flows.py
+++ b/tests/flows/test_sound_flows.py
@@ -7,7 +7,7 @@
 from balsamstream.flows.heartbeat import HostState
 from balsamstream.flows.placement import LOST_TIMEOUT_S
 from standins.flow_host import RST, FlowHost
-from tests.flows.deployment import Caller, Deployment, GateNode
+from tests.flows.deployment import Caller, Deployment, FrontNode, GateNode
 
 OPENING_FRONT = "10.2.0.1"
 OTHER_FRONT = "10.1.0.1"
@@ -240,3 +240,21 @@
     deployment.blocked_links.clear()
     deployment.pass_time(1.0)
     assert take_resets(deployment) == []
+
+
+@KNOWN_RED
+def test_flow_of_a_gate_that_is_not_known_yet_is_not_reset(
+    deployment: Deployment,
+) -> None:
+    """A front does not reset the flow of a gate that started after its listing."""
+    newcomer = FrontNode(deployment, "10.1.0.3", "medina")
+    names = deployment.list_names()
+    # The entries that the gate reads are older than the front.
+    gate = deployment.add_gate("10.2.0.30", "sakiet")
+    deployment.fronts[newcomer.ip] = newcomer
+    newcomer.front.fleet.add_listed_nodes(names, deployment.now)
+    deployment.run()
+    caller = open_flow(deployment, gate)
+    caller.send_request(newcomer.ip, b"more")
+    deployment.pass_time(0.5)
+    assert take_resets(deployment) == []
