Show that a late copy of an opening makes a restarted gate deny its flow

What callers see: a flow is reset though its host is sound. FlowTable.open sets initial_seq, so Flow.is_acknowledged_by allows for no packets that passed before the gate started; and an adopted flow is replaced by the copy.

Evidence: both cases end in a reset. Fails on this code; listed as red.

--- a/tests/flows/test_sound_flows.py
+++ b/tests/flows/test_sound_flows.py
@@ -258,3 +258,25 @@
     caller.send_request(newcomer.ip, b"more")
     deployment.pass_time(0.5)
     assert take_resets(deployment) == []
+
+
+@KNOWN_RED
+@pytest.mark.parametrize("is_adopted", [False, True])
+def test_flow_goes_on_after_a_late_copy_of_its_opening_at_a_restarted_gate(
+    deployment: Deployment, is_adopted: bool
+) -> None:
+    """A late copy of an opening packet does not make a gate deny its flow."""
+    gate = deployment.gates[GATES[0]]
+    caller = open_flow(deployment, gate)
+    acked = caller.acked + len(b"answer request")
+    gate.restart()
+    gate.send_heartbeat()
+    deployment.run()
+    caller.acked = acked
+    if is_adopted:
+        caller.send_request(OPENING_FRONT, b"before")
+    caller.open(OPENING_FRONT, copy=1)
+    caller.acked = acked
+    caller.send_request(OPENING_FRONT, b"more")
+    deployment.pass_time(0.5)
+    assert take_resets(deployment) == []
