Take a late copy of an opening packet for no opening of its flow at a restarted gate

Callers saw: a reset of an open flow whose host was sound, some time after a planned restart of its gate.

Cause: a gate that has restarted does not know the flows of its host. A late copy of an opening packet made it add the flow as if it opened then; the host answered with its first sequence number, and the caller's next packet acknowledged more than that. The gate denied it as of another flow, and so did all others.

Change: for a flow that the gate knows from a copy, an acknowledgement may be ahead of what the host was seen to send. The check still tells flows of other hosts apart, as their numbers are drawn from 32 bits.

--- a/src/balsamstream/flows/flow_table.py
+++ b/src/balsamstream/flows/flow_table.py
@@ -29,6 +29,9 @@
 """Bytes that an acknowledgement may be ahead of what a restarted gate has seen its host
 send: the host may retransmit the first of 16 packets that the caller has received but
 whose acknowledgements were lost."""
+MAX_ACK_AHEAD_OF_COPY_BYTES: Final = 1 << 17
+"""The same for a flow known from a copy of its opening packet: it may have opened
+seconds before, and the host answers each copy with its first number."""
 _SEQ_MASK: Final = 0xFFFF_FFFF
 
 _ENDING: Final = packets.FIN | packets.RST
@@ -52,6 +55,9 @@
     initial_seq : int or None
         Sequence number of the opening packet, or None if the flow is older than this
         gate's process.
+    max_ack_ahead : int
+        Bytes that an acknowledgement may be ahead of what the host has been seen to
+        send.
     caller_next_seq : int or None
         Sequence number after the caller's last byte, or None before its first request.
     host_next_seq : int or None
@@ -73,6 +79,7 @@
     last_packet_at: float
     route: RouteWork
     initial_seq: int | None = None
+    max_ack_ahead: int = 0
     caller_next_seq: int | None = None
     host_next_seq: int | None = None
     is_confirmed: bool = False
@@ -100,8 +107,7 @@
         host_next_seq = self.host_next_seq
         if host_next_seq is None:
             return False
-        # Of a flow older than this process, not every packet has passed here.
-        ahead = MAX_ACK_AHEAD_BYTES if self.initial_seq is None else 0
+        ahead = self.max_ack_ahead
         behind = (host_next_seq + ahead - packets.get_ack(packet)) & _SEQ_MASK
         return behind <= MAX_ACK_BEHIND_BYTES + ahead
 
@@ -174,7 +180,10 @@
         initial_seq = packets.get_seq(packet)
         route = self.work.get_route(flow)
         route.in_flight += 1
-        self._flows[flow] = Flow(front, now, route, initial_seq, pending_since=now)
+        entry = Flow(front, now, route, initial_seq, pending_since=now)
+        if packets.get_ack(packet):
+            entry.max_ack_ahead = MAX_ACK_AHEAD_OF_COPY_BYTES
+        self._flows[flow] = entry
         self.in_flight += 1
         self.is_load_changed = True
 
@@ -185,6 +194,8 @@
         """
         route = self.work.get_route(flow)
         entry = Flow("", now, route, is_confirmed=True)
+        # Not every packet of the flow has passed here.
+        entry.max_ack_ahead = MAX_ACK_AHEAD_BYTES
         if len(self._flows) < MAX_FLOWS:
             self._flows[flow] = entry
         return entry
