Read the nodes as they are after a gate has written its entry

Callers saw: an open flow of a sound host was reset by a front that had been added seconds before, while hosts and fronts were added together.

Cause: a node writes its entry and then lists the others, so that of two nodes that start together at least one finds the other. A gate's list might be seconds old, though. A front that had listed before the gate's entry was there, and whose own entry the gate's old list did not show, did not know the gate and was not told. It searched the gate's flows at all other gates, all denied, and it reset them.

Change: the list is read without the option that allows an old answer, one call at the price of a full read for each start of a gate.

--- a/src/balsamstream/node/discovery.py
+++ b/src/balsamstream/node/discovery.py
@@ -185,14 +185,10 @@
             await wait_before_retry(failures)
 
     async def _read_entries(self) -> list[NodeEntry]:
-        """Read all entries; a gate needs only some fronts, so they may be stale."""
+        """Read all entries as they are after this node's own was written."""
         failures = 0
         while True:
-            result = await self._store.list(
-                ObjectKind.NODES,
-                may_be_stale=not self._is_urgent,
-                is_urgent=self._is_urgent,
-            )
+            result = await self._store.list(ObjectKind.NODES, is_urgent=self._is_urgent)
             if isinstance(result, Listing):
                 return self._decode_entries(result)
             failures += 1
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -7,7 +7,6 @@
 import socket
 from typing import TYPE_CHECKING
 
-import pytest
 from aiohttp import web
 
 from balsamstream.node import discovery as discovery_module
@@ -22,6 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    import pytest
+
 ENTRY = NodeEntry("10.1.0.11", "gate", "medina", "comptoir")
 NAME = "10-1-0-11"
 FRONT_ENTRY = NodeEntry("10.1.0.1", "front", "medina")
@@ -203,7 +204,6 @@
     assert spec["is_without_host"] is False
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: issue 29")
 def test_of_two_nodes_that_start_together_one_discovers_the_other() -> None:
     """A front and a gate do not miss each other though the store's lists are old."""
 
