Count the gates as known only when the store or a front has named all of them

Callers saw: resets of open flows of sound hosts by a front that had just restarted and could not read the nodes from the store.

Cause: any hello with names ended the front's search for nodes, also a periodic one that names twelve gates. One second later the front counted its knowledge as complete, asked no other front for all names, and reset the flows that the few gates it knew had denied. After three seconds it did so with no names at all.

Change: a front that knows all gates states their number with the names. A front that has started asks for all names with each hello until it knows as many. Without the store and without such a front it waits for ten seconds before it takes what it knows for all. A front of an earlier release states no number, so it does not end that wait.

--- a/src/balsamstream/flows/directory.py
+++ b/src/balsamstream/flows/directory.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from .heartbeat import HostState
-from .placement import LOST_TIMEOUT_S, Host
+from .placement import Host
 from .roster import FrontRoster, GateRoster, Names
 from .subset import is_address
 
@@ -27,6 +27,9 @@
 """Time since a gate was found for which a front that has started may not know it."""
 MAX_NEWS: Final = 240
 """Gates that wait to be named at once; further ones are named in turn."""
+UNLISTED_S: Final = 10.0
+"""Time after which a front that neither the store nor another front tells which nodes
+there are takes those that it knows for all."""
 UNKNOWN_EXPIRY_S: Final = 4.0
 """Time for which a node of which only the address is known gets hellos."""
 
@@ -70,15 +73,15 @@
     def is_complete(self, now: float) -> bool:
         """Return whether every gate that runs should be known by now.
 
-        True once the store has listed the nodes or a front has named them, and in any
-        case some seconds after the start or a pause of this front.
+        True once the store has listed the nodes or a front has named all of them, and
+        in any case some seconds after the start or a pause of this front.
         """
         return now >= self._complete_at
 
     def forget_completeness(self, now: float) -> None:
         """Record that there may be nodes that are not known, as after a pause."""
         self.needs_names = True
-        self._complete_at = now + LOST_TIMEOUT_S
+        self._complete_at = now + UNLISTED_S
 
     def _record_completeness(self, at: float) -> None:
         self.needs_names = False
@@ -128,9 +131,7 @@
         self._record_completeness(now)
         return added
 
-    def add_named(
-        self, names: list[NodeName], now: float, *, by_newcomer: bool
-    ) -> list[Host]:
+    def add_named(self, names: list[NodeName], gates: int, now: float) -> list[Host]:
         """Add the nodes that another front names; return the hosts that are new.
 
         Parameters
@@ -139,8 +140,8 @@
             Nodes that have run lately.
         now : float
             Time, in seconds.
-        by_newcomer : bool
-            Whether the other front does not know all nodes itself.
+        gates : int
+            Gates that the other front knows; 0 if it does not know all itself.
         """
         added = []
         for name in names:
@@ -148,7 +149,7 @@
                 continue
             added += self._add(name, now)
             self._get_roster(name).sightings[name.ip].record_age(name.age_s, now)
-        if self.needs_names and names and not by_newcomer:
+        if self.needs_names and 0 < gates <= len(self.gates.hosts):
             self._record_completeness(now + NAMES_DELAY_S)
         return added
 
@@ -201,6 +202,13 @@
         ips = self._front_names.choose(self.fronts.sightings, NAMED_FRONTS, now)
         return self.fronts.build_names(ips, now)
 
+    def count_gates(self, now: float) -> int:
+        """Count the gates that have run lately; 0 if this front may not know all."""
+        if self.needs_names:
+            return 0
+        sightings = self.gates.sightings
+        return len(Names().choose(sightings, len(sightings), now))
+
     def choose_nodes(self, now: float) -> list[NodeName]:
         """Choose nodes to name in the next message to a front."""
         ips = self._gate_names.choose(self.gates.sightings, NAMED_GATES, now)
--- a/src/balsamstream/flows/fleet.py
+++ b/src/balsamstream/flows/fleet.py
@@ -388,9 +388,7 @@
         )
         if hello.version > self.version:
             self._transport.fetch_desired_state(sender, hello.version)
-        for host in self._directory.add_named(
-            hello.names, now, by_newcomer=hello.needs_names
-        ):
+        for host in self._directory.add_named(hello.names, hello.gates, now):
             self._contact_new_host(host, now)
             self._directory.record_news(host)
         if hello.needs_names and not self._directory.needs_names:
@@ -460,7 +458,8 @@
 
     def _send_hellos_to_fronts(self, now: float, *, has_names: bool = False) -> None:
         names = self._directory.choose_nodes(now) if has_names else []
-        hello = self._build_hello(names=names)
+        gates = self._directory.count_gates(now) if has_names else 0
+        hello = self._build_hello(names=names, gates=gates)
         for ip in (*self._contacts.fronts, *self._directory.unknown):
             self._transport.send_to_node(ip, hello)
 
@@ -473,8 +472,9 @@
 
     def _send_all_names(self, ip: str, now: float) -> None:
         """Name all nodes that run to a front that has just started."""
+        gates = self._directory.count_gates(now)
         for names in self._directory.iterate_all_names(now):
-            hello = self._build_hello(is_reply=True, names=names)
+            hello = self._build_hello(is_reply=True, names=names, gates=gates)
             self._transport.send_to_node(ip, hello)
 
     def _record_hello(self, host: Host, now: float) -> None:
@@ -492,6 +492,7 @@
         *,
         is_reply: bool = False,
         names: Iterable[NodeName] = (),
+        gates: int = 0,
     ) -> bytes:
         desired = self.desired
         rules = None if desired is None else desired.services.get(service)
@@ -510,6 +511,7 @@
             max_flows=0 if rules is None else rules.max_flows,
             names=list(names),
             protocol=PROTOCOL,
+            gates=gates,
         )
         return encode_control(hello)
 
--- a/src/balsamstream/flows/messages.py
+++ b/src/balsamstream/flows/messages.py
@@ -234,6 +234,9 @@
         Some nodes that have run lately; only fronts in a hello to a gate.
     protocol : int
         Version of the messages that the front understands.
+    gates : int
+        Gates that have run lately by what the front knows, with names for another
+        front; 0 if it does not know all, or names none.
     """
 
     data_centre: str
@@ -250,6 +253,7 @@
     max_flows: int
     names: list[NodeName]
     protocol: int = 1
+    gates: int = 0
 
 
 class RouteReport(msgspec.Struct, array_like=True, frozen=True):
--- a/tests/flows/test_sound_flows.py
+++ b/tests/flows/test_sound_flows.py
@@ -275,3 +275,34 @@
     caller.send_request(OPENING_FRONT, b"more")
     deployment.pass_time(0.5)
     assert take_resets(deployment) == []
+
+
+def test_front_that_was_named_a_part_of_the_gates_resets_no_flow() -> None:
+    """A front that cannot list the nodes knows them only once all were named."""
+    deployment = Deployment()
+    for number in range(11, 71):
+        deployment.add_gate(f"10.2.0.{number}", "sakiet")
+    for ip in (OPENING_FRONT, OTHER_FRONT):
+        deployment.add_front(ip, FRONTS[ip])
+    deployment.pass_time(1.0)
+    newcomer = FrontNode(deployment, "10.1.0.3", "medina")
+    deployment.fronts[newcomer.ip] = newcomer
+    unheard = {(newcomer.ip, ip) for ip in FRONTS}
+    deployment.blocked_links |= unheard
+    for ip in (OPENING_FRONT, OTHER_FRONT):
+        deployment.fronts[ip].find_nodes()
+    deployment.pass_time(4.0)
+    deployment.blocked_links -= unheard
+    known = {host.ip for host in newcomer.front.fleet.iterate_all_hosts()}
+    contacts = [
+        host.ip
+        for host in deployment.fronts[OPENING_FRONT].front.fleet.iterate_all_hosts()
+        if host.is_alive(deployment.now)
+    ]
+    unknown = sorted(set(contacts) - known)
+    assert known
+    assert unknown
+    caller = open_flow(deployment, deployment.gates[unknown[0]])
+    caller.send_request(newcomer.ip, b"more")
+    deployment.pass_time(1.0)
+    assert take_resets(deployment) == []
