Take a delayed first opening packet for a copy at a gate that may miss flows

Callers saw: as with a late copy of an opening packet at a restarted gate.

Cause: the first packet itself may be the late one, and it carries no copy number.

Change: while its host may hold flows that the gate has not seen open, the gate allows the same acknowledgements for each flow it adds.

--- a/src/balsamstream/flows/flow_table.py
+++ b/src/balsamstream/flows/flow_table.py
@@ -152,6 +152,9 @@
         Requests and opening packets that the host has not begun to answer.
     is_load_changed : bool
         Whether the load has changed since it was last reported.
+    may_miss_flows : bool
+        Whether the host may hold flows that are not in the table, so that an opening
+        packet may be a late copy.
     work : HostWork
         Requests in flight by route, and the learned service times.
     """
@@ -164,6 +167,7 @@
         self._confirmation = ConfirmationTimer()
         self.in_flight = 0
         self.is_load_changed = False
+        self.may_miss_flows = False
         self.work = HostWork()
 
     def __len__(self) -> int:
@@ -184,7 +188,7 @@
         route = self.work.get_route(flow)
         route.in_flight += 1
         entry = Flow(front, now, route, initial_seq, pending_since=now, added_at=now)
-        if packets.get_ack(packet):
+        if packets.get_ack(packet) or self.may_miss_flows:
             entry.max_ack_ahead = MAX_ACK_AHEAD_OF_COPY_BYTES
         self._flows[flow] = entry
         self.in_flight += 1
--- a/src/balsamstream/flows/gate.py
+++ b/src/balsamstream/flows/gate.py
@@ -334,6 +334,7 @@
             self._decline(opening, reason, now)
             return
         self._flows.remove(flow)
+        self._flows.may_miss_flows = self._older_flows.may_exist(now)
         self._dispatcher.submit(opening, now)
 
     def _handle_copy(self, packet: bytes, entry: Flow, sender: str, now: float) -> None:
