--- a/tests/flows/flow_world.py
+++ b/tests/flows/flow_world.py
@@ -205,6 +205,8 @@
     ) -> None:
         super().__init__(loss=loss, policy=policy)
         self.random = random.Random(seed)
+        self._seed = seed
+        self._links: dict[tuple[str, str], random.Random] = {}
         self.oracle = FlowOracle(self)
         self.cuts: list[tuple[frozenset[str], frozenset[str], float]] = []
         self.flows: dict[tuple[int, int], Any] = {}
@@ -324,12 +326,24 @@
         """Deliver a message after some time unless it is lost."""
         if self.cuts and self.is_cut(ip, sender):
             return
-        if self.loss and self.random.random() < self.loss:
+        draw = self._get_link(ip, sender)
+        if self.loss and draw.random() < self.loss:
             return
         is_near = ip.split(".")[1] == sender.split(".")[1]
-        delay = (NEAR_S if is_near else FAR_S) * (1 + JITTER * self.random.random())
+        delay = (NEAR_S if is_near else FAR_S) * (1 + JITTER * draw.random())
         self.after(delay, self._reach_node, ip, message, sender)
 
+    def _get_link(self, ip: str, sender: str) -> random.Random:
+        """Return the source of a link's delays and losses.
+
+        Each link has its own, as nodes may send to others in any order.
+        """
+        draw = self._links.get((ip, sender))
+        if draw is None:
+            draw = random.Random(f"{self._seed} {ip} {sender}")
+            self._links[ip, sender] = draw
+        return draw
+
     def _reach_node(self, ip: str, message: bytes, sender: str) -> None:
         gate, front = self.gates.get(ip), self.fronts.get(ip)
         if gate is not None and gate.is_up:
