--- /dev/null
+++ b/tests/flows/test_flow_faults.py
@@ -0,0 +1,31 @@
+"""Short days of overlapping faults, after which rule FLOW must hold.
+
+``python -m tests.flows.flow_faults --seeds 50`` plays more and longer ones.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.flows.flow_faults import draw_day, list_broken, play
+
+LENGTH_S = 25.0
+KNOWN_RED = pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: issue 29")
+
+
+@pytest.mark.parametrize(
+    "seed",
+    [
+        7,
+        48,
+        97,
+        pytest.param(11, marks=KNOWN_RED),
+        pytest.param(25, marks=KNOWN_RED),
+        pytest.param(55, marks=KNOWN_RED),
+    ],
+)
+def test_no_open_flow_of_a_sound_host_is_lost(seed: int) -> None:
+    """Guards against resets of open flows, and packets that miss their hosts."""
+    world = play(draw_day(seed), LENGTH_S)
+    assert world.oracle.opened > 100
+    assert not [each.describe() for each in list_broken(world)]
