--- a/tests/flows/flow_faults.py
+++ b/tests/flows/flow_faults.py
@@ -8,11 +8,13 @@
 import argparse
 import random
 from collections import Counter
-from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, Final
 
 from balsamstream.flows.heartbeat import HostState
 from balsamstream.flows.load_policy import DEFAULT_POLICY, LoadPolicy
+from standins.flow_host import ACK, Packet
+from tests.flows.deployment import ROUTE, to_number
 from tests.flows.flow_callers import Caller, Routers
 from tests.flows.flow_world import BEAT_S, FlowWorld, WorldFront, WorldGate
 
@@ -246,6 +248,25 @@
             if self._random.random() < 0.3:
                 flow.salt = self._random.getrandbits(16)
 
+    def move_away(self) -> None:
+        """Send the flows of a data centre to the fronts of another one for a time."""
+        source, target = self._random.sample(DATA_CENTRES, 2)
+        moved = [
+            flow for flow in self._world.flows.values() if flow.data_centre == source
+        ]
+        self._oracle.record_fault(f"flows of {source} go to {target}")
+        for flow in moved:
+            flow.data_centre = target
+
+    def seek_unknown(self) -> None:
+        """Send a packet of a flow that no host holds to each front."""
+        self._oracle.record_fault("packets of unknown flows")
+        target = (to_number(ROUTE[0]), ROUTE[1])
+        for front in self._world.fronts:
+            source = (to_number("100.65.0.7"), self._random.randrange(1_024, 65_536))
+            packet = Packet(source, target, ACK, 5, self._random.getrandbits(32), b"x")
+            self._world.send_from_caller(packet, front)
+
     def lose_power(self) -> None:
         """Stop all nodes and hosts; they return one after another."""
         back_s = self._random.uniform(1.0, 4.0)
@@ -261,7 +282,7 @@
             self._end_front(front, front_s)
 
 
-WEIGHTS = {
+WEIGHTS: Final = {
     "flap_host": 6,
     "release_host": 2,
     "roll_gate": 4,
@@ -273,6 +294,7 @@
     "cut_node": 3,
     "move_flows": 3,
 }
+"""Kinds of faults that days draw; others come only when they are named."""
 
 
 def draw_day(seed: int) -> Day:
@@ -342,11 +364,17 @@
     parser.add_argument("--length", type=float, default=DAY_S)
     parser.add_argument("--trace", action="store_true", help="print each trace")
     parser.add_argument("--near", action="store_true", help="print near ones too")
+    parser.add_argument("--faults", help="kinds of faults, with commas between")
+    parser.add_argument("--fronts", type=int, help="fronts in each data centre")
     arguments = parser.parse_args()
     causes: Counter[tuple[bool, str, str]] = Counter()
     failed = 0
     for seed in range(arguments.first, arguments.first + arguments.seeds):
         day = draw_day(seed)
+        if arguments.faults:
+            day = replace(day, faults=tuple(arguments.faults.split(",")))
+        if arguments.fronts:
+            day = replace(day, fronts=arguments.fronts)
         world = play(day, arguments.length)
         oracle = world.oracle
         broken = list_broken(world)
