--- a/tests/flows/test_flow_faults.py
+++ b/tests/flows/test_flow_faults.py
@@ -19,9 +19,9 @@
         7,
         48,
         97,
+        25,
+        55,
         pytest.param(11, marks=KNOWN_RED),
-        pytest.param(25, marks=KNOWN_RED),
-        pytest.param(55, marks=KNOWN_RED),
     ],
 )
 def test_no_open_flow_of_a_sound_host_is_lost(seed: int) -> None:
--- a/tests/flows/test_open_flows.py
+++ b/tests/flows/test_open_flows.py
@@ -38,7 +38,7 @@
     caller.seq += len(data)
     for answer in answers:
         if answer.data:
-            caller.acked += len(answer.data)
+            caller.acked = max(caller.acked, answer.seq + len(answer.data))
             caller.acknowledge(front)
     return answers
 
@@ -76,7 +76,6 @@
     return [each for each in received if each.target[1] == port and each.flags & RST]
 
 
-@pytest.mark.xfail(strict=True, reason=KNOWN_RED)
 def test_flow_opened_before_the_first_heartbeat_of_its_host_stays_open() -> None:
     """Guards against a gate that discards the flows of a host that has just started."""
     deployment = build_deployment(3)
@@ -90,7 +89,6 @@
     assert not list_resets(deployment, caller)
 
 
-@pytest.mark.xfail(strict=True, reason=KNOWN_RED)
 def test_flow_of_a_host_whose_start_was_reported_late_survives_a_front() -> None:
     """Guards against saved flows that name an earlier incarnation than their own."""
     deployment = build_deployment(3)
@@ -106,7 +104,6 @@
     assert not list_resets(deployment, caller)
 
 
-@pytest.mark.xfail(strict=True, reason=KNOWN_RED)
 def test_late_copy_of_the_opening_at_a_restarted_gate_leaves_the_flow_open() -> None:
     """Guards against a gate that takes a late copy for a new flow."""
     deployment = build_deployment(3)
@@ -143,7 +140,6 @@
     assert arrivals < 3
 
 
-@pytest.mark.xfail(strict=True, reason=KNOWN_RED)
 def test_gate_that_was_cut_off_once_is_awaited_after_the_cut_has_healed() -> None:
     """Guards against a gate that counts as lost for good after one lost hello."""
     deployment = build_deployment(30, (FRONT, OTHER_FRONT))
