--- a/src/balsamstream/flows/directory.py
+++ b/src/balsamstream/flows/directory.py
@@ -216,13 +216,11 @@
 
     def list_recent_gates(self, now: float) -> list[NodeName]:
         """List the gates found lately, the latest first, as far as a message holds."""
-        found = [
-            (each.found_at, ip)
-            for ip, each in self.gates.sightings.items()
-            if now - each.found_at <= RECENT_S
-        ]
-        ips = [ip for _, ip in sorted(found, reverse=True)[:NAMES_PER_MESSAGE]]
-        return self.gates.build_names(ips, now)
+        sightings = self.gates.sightings
+        running = Names().choose(sightings, len(sightings), now)
+        recent = [ip for ip in running if now - sightings[ip].found_at <= RECENT_S]
+        recent.sort(key=lambda ip: -sightings[ip].found_at)
+        return self.gates.build_names(recent[:NAMES_PER_MESSAGE], now)
 
     def take_news(self, now: float) -> list[NodeName]:
         """Take the gates that no message has named yet, as far as a message holds."""
