--- a/src/balsamstream/node/discovery.py
+++ b/src/balsamstream/node/discovery.py
@@ -192,6 +192,8 @@
             if isinstance(result, Listing):
                 return self._decode_entries(result)
             failures += 1
+            if failures == 1:
+                self._events.emit("store_lost", kind="node_list", reason=result.reason)
             await wait_before_retry(failures)
 
     def _decode_entries(self, listing: Listing) -> list[NodeEntry]:
