--- a/src/balsamstream/platform/store.py
+++ b/src/balsamstream/platform/store.py
@@ -36,7 +36,6 @@
 """The store's upper bound for the wait time of a watch."""
 WATCH_MARGIN_S: Final = 2.0
 
-STALE_OPTION: Final = "allow_stale=1"
 ERA_HEADER: Final = "store-era"
 """Header of each response; its number rises when the store is restored from a copy."""
 _OK: Final = 200
@@ -97,26 +96,21 @@
         self._client.close()
         self._hedged_client.close()
 
-    async def list(
-        self, kind: ObjectKind, *, may_be_stale: bool = False, is_urgent: bool = False
-    ) -> ListResult:
+    async def list(self, kind: ObjectKind, *, is_urgent: bool = False) -> ListResult:
         """Read all objects of a kind, page by page.
 
         Parameters
         ----------
         kind : ObjectKind
             Kind of the objects.
-        may_be_stale : bool
-            Whether a state that is some seconds old will do, which is cheaper.
         is_urgent : bool
             Whether callers wait for the result; see `HedgedClient.call`.
         """
         found: list[StoredObject] = []
         after = ""
         while True:
-            options = [f"after={after}"] if after else []
-            options += [STALE_OPTION] if may_be_stale else []
-            path = f"{OBJECTS_PATH}/{kind.value}?{'&'.join(options)}".rstrip("?")
+            query = f"?after={after}" if after else ""
+            path = f"{OBJECTS_PATH}/{kind.value}{query}"
             call = self._hedged_client.call(
                 "GET", path, timeout_s=CALL_TIMEOUT_S, is_urgent=is_urgent
             )
