Give a gate that is believed absent its time to answer each time it is asked

Cause: the time that a gate has stood silent was counted from its first unanswered hello, perhaps minutes ago, in place of the last one; and for a search from the first packet to all, in place of the packet to this gate, which a relay may have lost.

Evidence: test_gate_behind_a_healed_link_has_time_to_answer failed before in all four phases of the tick.

Change: both times are counted from the question to the gate; each search sends its packet to such gates directly once; the first hello to a gate is not limited; a search is looked at again only by the tick once all have been asked.

--- a/src/balsamstream/flows/fleet.py
+++ b/src/balsamstream/flows/fleet.py
@@ -244,7 +244,7 @@
         """Find out whether a gate is alive that owes an answer to a search."""
         if now - host.hello_at < HELLO_INTERVAL_S:
             return
-        if self._asks_limit.try_acquire(now):
+        if host.asked_at is None or self._asks_limit.try_acquire(now):
             self._send_hello_to_gate(host, now)
 
     def widen_contacts(self, service: str, now: float) -> None:
--- a/src/balsamstream/flows/placement.py
+++ b/src/balsamstream/flows/placement.py
@@ -182,7 +182,7 @@
         """
         if self.asked_at is None or now - self.hello_at > PROOF_LIFETIME_S:
             return False
-        return now - self.asked_at >= PROOF_TIMEOUT_S
+        return now - self.hello_at >= PROOF_TIMEOUT_S
 
     def record_load(self, in_flight: int, flows: int, now: float) -> None:
         """Record a reported load and drop the placements that it includes."""
--- a/src/balsamstream/flows/search.py
+++ b/src/balsamstream/flows/search.py
@@ -51,6 +51,8 @@
     asked_all_at : float
         Time at which the packet was first sent to all gates in the present scope, in
         seconds.
+    asked : set of str
+        Gates believed absent that were sent the packet directly, by address.
     """
 
     started_at: float
@@ -61,6 +63,7 @@
     is_wide: bool = False
     sent_at: float = 0.0
     asked_all_at: float = 0.0
+    asked: set[str] = field(default_factory=set)
 
     def is_expired(self, now: float) -> bool:
         """Return whether the search has reached its timeout."""
--- a/src/balsamstream/flows/searches.py
+++ b/src/balsamstream/flows/searches.py
@@ -194,6 +194,12 @@
         ]
         for host in unproven:
             self._fleet.ask_gate(host, now)
+        unasked = [host for host in unproven if host.ip not in search.asked]
+        if unasked:
+            search.asked.update(host.ip for host in unasked)
+            search.asked_all_at = now
+            self._send(search, unasked, now)
+        search.expected_denials = len(search.denied_by) + len(unproven)
         return not unproven or now - search.asked_all_at >= PROOF_TIMEOUT_S
 
     def _has_candidates(self, search: Search, route: Route, now: float) -> bool:
--- a/tests/flows/test_sound_flows.py
+++ b/tests/flows/test_sound_flows.py
@@ -139,6 +139,29 @@
     assert take_resets(deployment) == []
 
 
+@pytest.mark.parametrize("phase_s", [0.0, 0.03, 0.06, 0.09])
+def test_gate_behind_a_healed_link_has_time_to_answer(
+    deployment: Deployment, phase_s: float
+) -> None:
+    """A gate that was asked long ago may answer until 0.1 s after it is asked anew."""
+    gate = find_stranger(deployment)
+    front = deployment.fronts[OTHER_FRONT].front
+    host = front.fleet.find_host(gate.ip)
+    assert host is not None
+    cut = {(gate.ip, OTHER_FRONT), (OTHER_FRONT, gate.ip)}
+    deployment.blocked_links |= cut
+    front.fleet.ask_gate(host, deployment.now)
+    deployment.pass_time(LOST_TIMEOUT_S + 0.5)
+    deployment.blocked_links -= cut
+    deployment.pass_time(CONTACT_S + 1.0)
+    caller = open_flow(deployment, gate)
+    deployment.pass_time(phase_s)
+    deployment.blocked_links.add((gate.ip, OTHER_FRONT))
+    caller.send_request(OTHER_FRONT, b"more")
+    deployment.pass_time(0.08)
+    assert take_resets(deployment) == []
+
+
 def test_gate_whose_entry_is_outdated_is_awaited(deployment: Deployment) -> None:
     """A front that starts does not rely on an entry that says that a host left."""
     gate = find_stranger(deployment)
