--- a/src/balsamstream/flows/directory.py
+++ b/src/balsamstream/flows/directory.py
@@ -6,7 +6,7 @@
 
 from .heartbeat import HostState
 from .placement import Host
-from .roster import FrontRoster, GateRoster, Names
+from .roster import NAME_LIFETIME_S, FrontRoster, GateRoster, Names
 from .subset import is_address
 
 if TYPE_CHECKING:
@@ -203,11 +203,11 @@
         return self.fronts.build_names(ips, now)
 
     def count_gates(self, now: float) -> int:
-        """Count the gates that have run lately; 0 if this front may not know all."""
+        """Count the gates heard or listed lately; 0 if this front may not know all."""
         if self.needs_names:
             return 0
-        sightings = self.gates.sightings
-        return len(Names().choose(sightings, len(sightings), now))
+        signs = [max(s.seen_at, s.listed_at) for s in self.gates.sightings.values()]
+        return sum(now - sign_at <= NAME_LIFETIME_S for sign_at in signs)
 
     def choose_nodes(self, now: float) -> list[NodeName]:
         """Choose nodes to name in the next message to a front."""
