Allow a heartbeat to be late when the flows of a restarted host are told apart

Found in the review, by a script and by reading: a flow adopted after the restart of its host was taken as new by a delayed opening packet, and flows opened just before a late heartbeat of the former incarnation were denied with certainty. Change: such an entry allows the acknowledgements of a copy; flows of the second before the last heartbeat are asked of the host, too; a gate whose host has ended forgets unsettled flows, so that it does not seem to hold flows.

--- a/src/balsamstream/flows/gate.py
+++ b/src/balsamstream/flows/gate.py
@@ -44,6 +44,8 @@
     from .messages import RouteReport
 
 EXPIRE_INTERVAL_S: Final = 1.0
+HEARTBEAT_DELAY_S: Final = 1.0
+"""Time that a heartbeat may take from its host to the gate."""
 
 
 class GateTransport(Protocol):
@@ -216,7 +218,8 @@
         this first heartbeat.
         """
         flows = len(self._flows)
-        unsettled = self._flows.list_added_since(self._heartbeat_at) if before else []
+        since = self._heartbeat_at - HEARTBEAT_DELAY_S
+        unsettled = self._flows.list_added_since(since) if before else []
         if before:
             self._handle_host_end(now)
         # A host that has just started holds no flow that this gate has not seen.
@@ -334,7 +337,8 @@
             self._decline(opening, reason, now)
             return
         self._flows.remove(flow)
-        self._flows.may_miss_flows = self._older_flows.may_exist(now)
+        is_adopted = entry is not None and entry.initial_seq is None
+        self._flows.may_miss_flows = is_adopted or self._older_flows.may_exist(now)
         self._dispatcher.submit(opening, now)
 
     def _handle_copy(self, packet: bytes, entry: Flow, sender: str, now: float) -> None:
--- a/src/balsamstream/flows/older_flows.py
+++ b/src/balsamstream/flows/older_flows.py
@@ -69,6 +69,7 @@
     def record_all_seen(self, reason: str) -> None:
         """Record that the host holds no flow that the gate has not seen open."""
         self._probes.has_seen_all_flows = True
+        self._unsettled = {}
         self._deny_probes(reason)
 
     def start_probe(self, flow: bytes, front: str, now: float) -> None:
