Decide in one place why no flows may be at a host

Found in the read-through; behaviour is meant to be the same. Cause: the log fields of lost flows brought a second copy of the conditions of may_hold_flows, which may drift from them; and a search kept the time of its first packet to all gates, which nothing reads any more since each gate believed absent is sent the packet directly before a reset.

--- a/src/balsamstream/flows/placement.py
+++ b/src/balsamstream/flows/placement.py
@@ -152,21 +152,17 @@
 
     def may_hold_flows(self, now: float) -> bool:
         """Return whether flows may be at the host: it has not left and is not lost."""
-        if self.state is HostState.GONE:
-            return False
-        if self.is_marked_left and self.state is HostState.UNKNOWN:
-            return False
-        timeout_s = EMPTY_TIMEOUT_S if self.is_empty else LOST_TIMEOUT_S
-        return self.asked_at is None or now - self.asked_at < timeout_s
+        return not self.explain_absence(now)
 
     def explain_absence(self, now: float) -> str:
         """Return why no flows may be at the host, empty if some may be."""
-        if self.may_hold_flows(now):
-            return ""
         if self.state is HostState.GONE:
             return "gone"
         if self.is_marked_left and self.state is HostState.UNKNOWN:
             return "left"
+        timeout_s = EMPTY_TIMEOUT_S if self.is_empty else LOST_TIMEOUT_S
+        if self.asked_at is None or now - self.asked_at < timeout_s:
+            return ""
         return "empty" if self.is_empty else "silent"
 
     def record_asked(self, now: float) -> None:
@@ -180,9 +176,9 @@
 
         What was last heard of it proves nothing if it may have changed since.
         """
-        if self.asked_at is None or now - self.hello_at > PROOF_LIFETIME_S:
+        if self.asked_at is None:
             return False
-        return now - self.hello_at >= PROOF_TIMEOUT_S
+        return PROOF_TIMEOUT_S <= now - self.hello_at <= PROOF_LIFETIME_S
 
     def record_load(self, in_flight: int, flows: int, now: float) -> None:
         """Record a reported load and drop the placements that it includes."""
--- a/src/balsamstream/flows/search.py
+++ b/src/balsamstream/flows/search.py
@@ -48,11 +48,10 @@
         Whether the search asks the gates of all services, not only of the route's.
     sent_at : float
         Time at which the packet was last sent to gates, in seconds.
-    asked_all_at : float
-        Time at which the packet was first sent to all gates in the present scope, in
-        seconds.
     asked : set of str
         Gates believed absent that were sent the packet directly, by address.
+    asked_at : float
+        Time at which the last of them was sent it, in seconds.
     """
 
     started_at: float
@@ -62,8 +61,8 @@
     expected_denials: int = 0
     is_wide: bool = False
     sent_at: float = 0.0
-    asked_all_at: float = 0.0
     asked: set[str] = field(default_factory=set)
+    asked_at: float = 0.0
 
     def is_expired(self, now: float) -> bool:
         """Return whether the search has reached its timeout."""
@@ -88,7 +87,7 @@
 
 def start_search(flow: bytes, now: float) -> Search:
     """Start a search; the initial rotation spreads flows over the relays."""
-    return Search(now, zlib.crc32(flow), asked_all_at=now)
+    return Search(now, zlib.crc32(flow))
 
 
 def plan_relays(
--- a/src/balsamstream/flows/searches.py
+++ b/src/balsamstream/flows/searches.py
@@ -123,8 +123,6 @@
         search.is_wide = self._wide_limit.try_acquire(now, tokens)
         if not search.is_wide:
             self._events.count("searches.limited")
-        elif others:
-            search.asked_all_at = now
         return search.is_wide
 
     def _list_targets(self, search: Search, route: Route) -> list[Host]:
@@ -197,10 +195,10 @@
         unasked = [host for host in unproven if host.ip not in search.asked]
         if unasked:
             search.asked.update(host.ip for host in unasked)
-            search.asked_all_at = now
+            search.asked_at = now
             self._send(search, unasked, now)
         search.expected_denials = len(search.denied_by) + len(unproven)
-        return not unproven or now - search.asked_all_at >= PROOF_TIMEOUT_S
+        return not unproven or now - search.asked_at >= PROOF_TIMEOUT_S
 
     def _has_candidates(self, search: Search, route: Route, now: float) -> bool:
         """Return whether a gate in the scope of a search may hold the flow."""
