Start the simulated nodes as the other tests of flows do

The simulator of faults built gates and fronts with the same calls as the deployment of the other tests. Change: the heartbeat interval is a field of the gate there, the build of a front a method; the simulator calls both.

--- a/tests/flows/deployment.py
+++ b/tests/flows/deployment.py
@@ -89,6 +89,7 @@
     has_host: bool = True
     is_up: bool = True
     policy: LoadPolicy | None = None
+    heartbeat_s: float = HEARTBEAT_S
 
     def __post_init__(self) -> None:
         self.start()
@@ -102,7 +103,7 @@
             service=self.service,
             data_centre=self.data_centre,
             incarnation=self.gate_incarnation,
-            heartbeat_s=HEARTBEAT_S,
+            heartbeat_s=self.heartbeat_s,
             now=self.deployment.now,
             policy=self.deployment.policy if self.policy is None else self.policy,
         )
@@ -172,6 +173,13 @@
 
     def start(self) -> None:
         """Start the front's process, which knows only the desired state."""
+        self.build_front()
+        self.front.fleet.apply_desired_state(
+            self.deployment.desired, "test", self.deployment.now
+        )
+
+    def build_front(self) -> None:
+        """Replace the front by one without any state."""
         self.front = Front(
             self,
             self.events,
@@ -181,9 +189,6 @@
             now=self.deployment.now,
             policy=self.deployment.front_policy,
         )
-        self.front.fleet.apply_desired_state(
-            self.deployment.desired, "test", self.deployment.now
-        )
 
     def find_nodes(self) -> None:
         """List the nodes, as from the store."""
--- a/tests/flows/flow_world.py
+++ b/tests/flows/flow_world.py
@@ -9,13 +9,10 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from balsamstream.flows.front import Front
-from balsamstream.flows.gate import Gate
 from balsamstream.flows.load_policy import DEFAULT_POLICY, LoadPolicy
 from balsamstream.platform import packets
 from standins.flow_host import RST, TEST_CHECKSUM, FlowHost, Packet, decode
 from tests.flows.deployment import (
-    NODE_PORT,
     SERVICE,
     Deployment,
     FrontNode,
@@ -28,6 +25,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from balsamstream.flows.gate import Gate
     from balsamstream.flows.held_flows import HeldFlow, SavedFlow
 
 NEAR_S = 0.0002
@@ -83,20 +81,11 @@
     server: FlowServer | None = None
     is_marked_left: bool = False
     has_entry: bool = False
+    heartbeat_s: float = BEAT_S
 
     def start(self) -> None:
         """Start the gate's process without any state."""
-        self.gate = Gate(
-            self,
-            self.events,
-            ip=self.ip,
-            service=self.service,
-            data_centre=self.data_centre,
-            incarnation=self.gate_incarnation,
-            heartbeat_s=BEAT_S,
-            now=self.deployment.now,
-            policy=self.deployment.policy,
-        )
+        super().start()
         self.is_up = True
 
     def send_to_host(self, packet: bytes) -> None:
@@ -127,15 +116,7 @@
 
     def start(self) -> None:
         """Start the front's process without any state."""
-        self.front = Front(
-            self,
-            self.events,
-            ip=self.ip,
-            data_centre=self.data_centre,
-            node_port=NODE_PORT,
-            now=self.deployment.now,
-            policy=self.deployment.front_policy,
-        )
+        self.build_front()
         self._record_popped()
         self.is_up = True
         self.is_ready = False
