Know a delayed opening packet of an adopted flow by its sequence number

Callers would have seen: a reset of an open flow, if its first opening packet came after the gate had adopted the flow and had to wait for a slot.

Cause: a gate took each opening packet of an adopted flow for a new flow: it removed the entry and queued the packet. While it waited, the flow's packets were denied. The former mend only allowed the new entry's acknowledgements, by a mark that the next opening packet overwrote.

Change: the host's packet that proves an adopted flow acknowledges what the caller has sent, and an opening packet whose number is a little behind that is a copy. It goes to the host like any other copy.

--- a/src/balsamstream/flows/flow_table.py
+++ b/src/balsamstream/flows/flow_table.py
@@ -95,9 +95,12 @@
         """Return whether an opening packet is a copy of the one that opened the flow.
 
         A copy may be delayed for seconds. Another sequence number means that the caller
-        has reused its port.
+        has reused its port; that of an older flow is a little behind its last byte.
         """
-        return self.initial_seq == packets.get_seq(packet)
+        seq = packets.get_seq(packet)
+        if self.initial_seq is not None or self.caller_next_seq is None:
+            return self.initial_seq == seq
+        return (self.caller_next_seq - seq) & _SEQ_MASK <= MAX_ACK_BEHIND_BYTES
 
     def is_acknowledged_by(self, packet: bytes) -> bool:
         """Return whether a packet acknowledges data sent by this host on the flow.
@@ -188,20 +191,24 @@
         route = self.work.get_route(flow)
         route.in_flight += 1
         entry = Flow(front, now, route, initial_seq, pending_since=now, added_at=now)
-        if packets.get_ack(packet) or self.may_miss_flows:
+        # Packets of the flow may have passed while its opening packet waited.
+        is_open = self.may_miss_flows or flow in self._flows
+        if packets.get_ack(packet) or is_open:
             entry.max_ack_ahead = MAX_ACK_AHEAD_OF_COPY_BYTES
         self._flows[flow] = entry
         self.in_flight += 1
         self.is_load_changed = True
 
-    def adopt(self, flow: bytes, now: float) -> Flow:
-        """Add a flow that the host held before this gate started.
+    def adopt(self, flow: bytes, packet: bytes, now: float) -> Flow:
+        """Add a flow that the host has held unknown to this gate, from its packet.
 
         A full table returns the state without storing it.
         """
         route = self.work.get_route(flow)
         entry = Flow("", now, route, is_confirmed=True, added_at=now)
         # Not every packet of the flow has passed here.
+        if packets.get_flags(packet) & packets.ACK:
+            entry.caller_next_seq = packets.get_ack(packet)
         entry.max_ack_ahead = MAX_ACK_AHEAD_BYTES
         if len(self._flows) < MAX_FLOWS:
             self._flows[flow] = entry
--- a/src/balsamstream/flows/gate.py
+++ b/src/balsamstream/flows/gate.py
@@ -337,8 +337,7 @@
             self._decline(opening, reason, now)
             return
         self._flows.remove(flow)
-        is_adopted = entry is not None and entry.initial_seq is None
-        self._flows.may_miss_flows = is_adopted or self._older_flows.may_exist(now)
+        self._flows.may_miss_flows = self._older_flows.may_exist(now)
         self._dispatcher.submit(opening, now)
 
     def _handle_copy(self, packet: bytes, entry: Flow, sender: str, now: float) -> None:
@@ -400,7 +399,7 @@
                 return
             if not self._older_flows.resolve(flow, packet):
                 return
-            entry = self._flows.adopt(flow, now)
+            entry = self._flows.adopt(flow, packet, now)
         is_answer = self._flows.record_host_packet(entry, packet, now)
         self._transport.send_to_caller(packet)
         if is_answer and self._dispatcher:
--- a/tests/flows/test_sound_flows.py
+++ b/tests/flows/test_sound_flows.py
@@ -222,6 +222,32 @@
     assert take_resets(deployment) == []
 
 
+@pytest.mark.parametrize("must_wait", [False, True])
+def test_delayed_first_opening_leaves_an_adopted_flow_open(
+    deployment: Deployment, must_wait: bool
+) -> None:
+    """A first opening packet may come after its flow has opened and was adopted."""
+    gate = deployment.gates[GATES[0]]
+    caller = open_before_first_heartbeat(deployment, gate)
+    caller.send_request(OPENING_FRONT, b"adopts")
+    keep_only_ready(deployment, gate)
+    busy = [Caller(deployment, 40_100 + number) for number in range(4)]
+    gate.host.withholds_answers = must_wait
+    for each in busy:
+        each.open(OPENING_FRONT)
+        each.send_request(OPENING_FRONT)
+    caller.resend_first_opening(OPENING_FRONT)
+    Caller(deployment, 40_200).open(OPENING_FRONT)
+    gate.host.withholds_answers = False
+    for each in busy:
+        each.send_request(OPENING_FRONT)
+    caller.acked = gate.host.number + 1 + len(b"answer request")
+    caller.send_request(OPENING_FRONT, b"more")
+    deployment.pass_time(0.5)
+    assert caller.get_holder() is gate
+    assert take_resets(deployment) == []
+
+
 def test_saved_flow_opened_before_the_first_heartbeat_is_not_reset(
     deployment: Deployment,
 ) -> None:
