Go through the held flows once when a front restores them

A front that starts looked at all flows once for each host that had reported, up to 32,768 flows for each of its contacts. Change: one pass for all hosts, which a single report uses as well. The tests of held flows pass unchanged.

--- a/src/balsamstream/flows/front.py
+++ b/src/balsamstream/flows/front.py
@@ -167,7 +167,7 @@
         self.held_flows.restore(flows)
         for ip, ended in self.held_flows.pop_restored().items():
             host = self.fleet.find_host(ip)
-            if host is not None and ended:
+            if host is not None:
                 self._reset_ended(host, ended, self._get_silence_s(ip, now), now)
 
     def _reset_ended(
--- a/src/balsamstream/flows/held_flows.py
+++ b/src/balsamstream/flows/held_flows.py
@@ -149,28 +149,28 @@
             if incarnation == reported.incarnation:
                 reported.reported_at = now
             return {}
-        ended = self._pop_earlier(host, incarnation)
+        ended = self._pop_earlier({host: incarnation})
         self._reported[host] = ReportedHost(incarnation, now)
-        return ended
+        return ended.get(host, {})
 
     def pop_restored(self) -> dict[str, dict[bytes, HeldFlow]]:
         """Remove restored flows that have ended by the reports so far, by host."""
-        return {
-            host: self._pop_earlier(host, reported.incarnation)
-            for host, reported in self._reported.items()
-        }
+        present = {ip: each.incarnation for ip, each in self._reported.items()}
+        return self._pop_earlier(present)
 
-    def _pop_earlier(self, host: str, incarnation: int) -> dict[bytes, HeldFlow]:
-        ended = {}
+    def _pop_earlier(self, present: dict[str, int]) -> dict[str, dict[bytes, HeldFlow]]:
+        """Remove the flows of incarnations before the present ones, by host."""
+        ended: dict[str, dict[bytes, HeldFlow]] = {}
         for flow, held in self._flows.items():
-            if held.host != host or not 0 < held.incarnation < incarnation:
+            if not 0 < held.incarnation < present.get(held.host, 0):
                 continue
             if self._is_proven(held):
-                ended[flow] = held
+                ended.setdefault(held.host, {})[flow] = held
             else:
                 held.incarnation = 0
-        for flow in ended:
-            self._flows.remove(flow)
+        for flows in ended.values():
+            for flow in flows:
+                self._flows.remove(flow)
         return ended
 
     def _is_proven(self, held: HeldFlow) -> bool:
