--- a/tests/flows/deployment.py
+++ b/tests/flows/deployment.py
@@ -114,6 +114,12 @@
         self.start()
         self.find_fronts()
 
+    def restart_host(self, number: int = 9_000) -> None:
+        """Start another incarnation of the host, before its first heartbeat."""
+        self.host = FlowHost(number)
+        self.incarnation += 1
+        self.heartbeats = 0
+
     def find_fronts(self) -> None:
         """Find the fronts that run, as from the store."""
         fronts = [
--- a/tests/flows/test_held_flows.py
+++ b/tests/flows/test_held_flows.py
@@ -40,9 +40,7 @@
 
 def restart_host(gate: GateNode) -> None:
     """Restart a host; its flows are gone."""
-    gate.host = type(gate.host)(9_000)
-    gate.incarnation += 1
-    gate.heartbeats = 0
+    gate.restart_host()
     gate.send_heartbeat()
 
 
--- a/tests/flows/test_open_flows.py
+++ b/tests/flows/test_open_flows.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from standins.flow_host import RST, FlowHost, Packet
+from standins.flow_host import RST, Packet
 from tests.flows.deployment import Caller, Deployment, FrontNode, GateNode
 
 FRONT = "10.1.0.1"
@@ -25,13 +25,6 @@
     return deployment
 
 
-def restart_host(gate: GateNode) -> None:
-    """Restart a host; its first heartbeat is yet to come."""
-    gate.host = FlowHost(9_000)
-    gate.incarnation += 1
-    gate.heartbeats = 0
-
-
 def exchange(caller: Caller, front: str, data: bytes = b"request") -> list[Packet]:
     """Send a request and acknowledge what the caller receives."""
     answers = caller.send_request(front, data)
@@ -80,7 +73,7 @@
     """Guards against a gate that discards the flows of a host that has just started."""
     deployment = build_deployment(3)
     gate = deployment.gates["10.1.0.11"]
-    restart_host(gate)
+    gate.restart_host()
     caller = open_flow_at(deployment, gate)
     gate.send_heartbeat()
     deployment.pass_time(CALM_S)
@@ -94,7 +87,7 @@
     deployment = build_deployment(3)
     gate, node = deployment.gates["10.1.0.11"], deployment.fronts[FRONT]
     deployment.blocked_links.add((gate.ip, FRONT))
-    restart_host(gate)
+    gate.restart_host()
     gate.send_heartbeat()
     caller = open_flow_at(deployment, gate)
     deployment.blocked_links.clear()
@@ -191,7 +184,7 @@
     deployment.blocked_links.clear()
     deployment.pass_time(CALM_S)
     wrong.has_host = True
-    restart_host(wrong)
+    wrong.restart_host()
     deployment.pass_time(CALM_S)
     assert caller.get_holder() is right
     assert not list_resets(deployment, caller)
--- a/tests/flows/test_outlier_failures.py
+++ b/tests/flows/test_outlier_failures.py
@@ -22,7 +22,7 @@
 from balsamstream.platform import packets
 from standins.flow_host import RST, SYN, FlowHost, Packet
 
-from .deployment import ROUTE, SERVICE, Caller, Deployment, FrontNode, GateNode
+from .deployment import ROUTE, SERVICE, Caller, Deployment, FrontNode
 
 POLICY = LoadPolicy(detects_outliers=True)
 ROUTE_TAG = compute_route_tag(packets.pack_route(*ROUTE))
@@ -225,17 +225,10 @@
     return encode_control(Report(**fields))
 
 
-def restart_host(gate: GateNode) -> None:
-    """Start another incarnation of a host, which answers all requests."""
-    gate.incarnation += 1
-    gate.heartbeats = 0
-    gate.host = FlowHost(8_000)
-
-
 def test_evidence_does_not_stick_to_a_host_that_starts_cold(load: Load) -> None:
     load.run(3.0)
     gate = load.deployment.gates[BAD]
-    restart_host(gate)
+    gate.restart_host(8_000)
     gate.cold_left_s = 2.0
     gate.send_heartbeat()
     gate.cold_left_s = 1.0
@@ -250,7 +243,7 @@
     gate = load.deployment.gates[BAD]
     gate.gate.handle_leave(f"i-{BAD}", load.deployment.now)
     load.run(0.2)
-    restart_host(gate)
+    gate.restart_host(8_000)
     gate.send_heartbeat()
     load.run(1.0)
     assert gate.gate.state is HostState.READY
@@ -261,7 +254,7 @@
 def test_gate_discards_the_evidence_of_an_earlier_incarnation(load: Load) -> None:
     load.run(1.0)
     gate = load.deployment.gates[BAD]
-    restart_host(gate)
+    gate.restart_host(8_000)
     gate.send_heartbeat()
     load.deployment.pass_time(0.6)
     assert get_routes(load.deployment.fronts[FRONTS[0]], BAD) == []
--- a/tests/flows/test_reset_logs.py
+++ b/tests/flows/test_reset_logs.py
@@ -10,7 +10,6 @@
 from balsamstream.flows.heartbeat import HostState
 from balsamstream.flows.held_flows import MIN_AGE_S
 from balsamstream.flows.placement import EMPTY_TIMEOUT_S, LOST_TIMEOUT_S, Host
-from standins.flow_host import FlowHost
 
 from .deployment import Caller, Deployment, GateNode
 
@@ -44,9 +43,7 @@
 
 def restart_host(gate: GateNode) -> None:
     """Restart a host; its flows are gone."""
-    gate.host = FlowHost(9_000)
-    gate.incarnation += 1
-    gate.heartbeats = 0
+    gate.restart_host()
     gate.send_heartbeat()
     gate.deployment.run()
 
--- a/tests/flows/test_sound_flows.py
+++ b/tests/flows/test_sound_flows.py
@@ -6,7 +6,7 @@
 
 from balsamstream.flows.heartbeat import HostState
 from balsamstream.flows.placement import LOST_TIMEOUT_S
-from standins.flow_host import RST, FlowHost
+from standins.flow_host import RST
 from tests.flows.deployment import Caller, Deployment, FrontNode, GateNode
 
 OPENING_FRONT = "10.2.0.1"
@@ -74,9 +74,7 @@
 
 def restart_host(gate: GateNode) -> None:
     """Restart a host, whose first heartbeat is still on its way."""
-    gate.host = FlowHost(gate.host.number + 100_000)
-    gate.incarnation += 1
-    gate.heartbeats = 0
+    gate.restart_host(gate.host.number + 100_000)
 
 
 def find_stranger(deployment: Deployment) -> GateNode:
