--- a/review/harness/site.py
+++ b/review/harness/site.py
@@ -149,6 +149,7 @@
             self._server.close()
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
 
     def build_heartbeat(self) -> dict[str, object]:
         """Build the next heartbeat."""
@@ -413,6 +414,7 @@
         self.record = record
         self.store = Store()
         self.vms: list[VM] = []
+        self._machines = 0
         self._directory = tempfile.TemporaryDirectory(prefix="balsamstream-review-")
         self._network = random.SystemRandom().randrange(20, 250)
         self._first_port = random.SystemRandom().randrange(20_000, 30_000, 16)
@@ -476,7 +478,8 @@
 
     def add(self, role: str, data_centre: str) -> VM:
         """Add a machine and start its node."""
-        number = len(self.vms) + 1
+        self._machines += 1
+        number = self._machines
         third = 1 if role == "front" else 2
         ip = f"127.{self._network}.{third}.{number}"
         vm = VM(f"{role}-{number}", role, ip, data_centre)
--- a/review/harness/store.py
+++ b/review/harness/store.py
@@ -18,10 +18,13 @@
     ----------
     is_silent : bool
         Whether calls get no answer and are not carried out.
+    era : int
+        Number in the header ``Store-Era``.
     """
 
     def __init__(self) -> None:
         self.is_silent = False
+        self.era = 1
         self._revision = 1
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
@@ -95,7 +98,7 @@
                     await asyncio.sleep(3600)
                 payload = json.dumps(answer).encode()
                 writer.write(
-                    f"HTTP/1.1 {status} {REASONS[status]}\r\nStore-Era: 1\r\n"
+                    f"HTTP/1.1 {status} {REASONS[status]}\r\nStore-Era: {self.era}\r\n"
                     f"Content-Type: application/json\r\n"
                     f"Content-Length: {len(payload)}\r\n\r\n".encode()
                     + payload
