Log the evidence on which a gate stops to ask its host

A gate that denies a flow logs 'not held', whatever made it certain: that its host had just started, that nothing listened, that the store had no earlier entry, or its age.

The event all_flows_seen names the evidence, once for each time that doubt ends. Nothing is decided differently.

--- a/src/balsamstream/flows/older_flows.py
+++ b/src/balsamstream/flows/older_flows.py
@@ -48,6 +48,11 @@
         self._probes = HostProbes(now)
         self._unsettled: dict[bytes, float] = {}
 
+    @property
+    def is_in_doubt(self) -> bool:
+        """Whether nothing has proved yet that the gate has seen all flows open."""
+        return bool(self._unsettled) or not self._probes.has_seen_all_flows
+
     def may_exist(self, now: float) -> bool:
         """Return whether the host may hold flows that the gate does not know."""
         if self._host.state is HostState.GONE:
@@ -68,6 +73,8 @@
 
     def record_all_seen(self, reason: str) -> None:
         """Record that the host holds no flow that the gate has not seen open."""
+        if self.is_in_doubt:
+            self._events.emit("all_flows_seen", reason=reason)
         self._probes.has_seen_all_flows = True
         self._unsettled = {}
         self._deny_probes(reason)
--- a/tests/flows/test_reset_logs.py
+++ b/tests/flows/test_reset_logs.py
@@ -193,3 +193,13 @@
     fields = read(deployment.gates[HOSTS[0]].events, "host_started")
     assert fields["before"] == 0
     assert (fields["discarded"], fields["unsettled"]) == (0, 0)
+
+
+def test_evidence_that_a_gate_has_seen_all_flows_is_logged(
+    deployment: Deployment,
+) -> None:
+    gate = deployment.gates[HOSTS[0]]
+    gate.events.lines.clear()
+    gate.restart()
+    gate.gate.record_refused_check(deployment.now)
+    assert read(gate.events, "all_flows_seen") == {"reason": "no host"}
