Ask the host whatever the store says of earlier gates

Cause: a gate that created its entry in the store concluded that no gate had run at its address before, so that its host could hold no flow unknown to it. An earlier process may never have reached the store (a silent store, a kill before the call, a call whose answer was lost), or the store may have lost the entry since.

Ruled out: a call of this process that failed before (counted already), another writer of the entry, a lost denial.

Change: the store's answer proves nothing and is no longer read for this.

--- a/src/balsamstream/flows/gate.py
+++ b/src/balsamstream/flows/gate.py
@@ -243,10 +243,6 @@
         self._dispatcher.handle_host_end(now)
         self._flows.clear()
 
-    def record_first_start(self) -> None:
-        """Record that no gate has run here before, so there are no older flows."""
-        self._older_flows.record_all_seen("no earlier gate")
-
     def record_refused_check(self, now: float) -> None:
         """Record that nothing listens at the host's address, so no flow is held."""
         if not self._host.record_refused_check():
--- a/src/balsamstream/node/discovery.py
+++ b/src/balsamstream/node/discovery.py
@@ -55,8 +55,6 @@
     ----------
     entry_name : str
         Name of this node's entry.
-    is_first_here : bool
-        Whether the store had no entry of an earlier run at this address.
     """
 
     def __init__(self, store: StoreClient, node: NodeEntry, events: NodeEvents) -> None:
@@ -68,7 +66,6 @@
         self._is_urgent = node.role == "front"
         self._own_entry: StoredObject | None = None
         self._is_written = False
-        self.is_first_here = False
         self._written_at = 0.0
         self._era = 0
 
@@ -140,9 +137,6 @@
             if not isinstance(result, Unavailable):
                 self._is_written = True
                 self._own_entry = result.current
-                # After a failure it may be an earlier attempt that took effect, and an
-                # earlier run may not have reached the store at all.
-                self.is_first_here = isinstance(result, Written) and failures == 0
                 self._written_at = asyncio.get_running_loop().time()
                 self._events.emit(
                     "entry_written", result=type(result).__name__, failures=failures
--- a/src/balsamstream/node/gate.py
+++ b/src/balsamstream/node/gate.py
@@ -131,13 +131,7 @@
         self.ticker.hasten()
 
     def handle_listed_nodes(self, nodes: list[NodeEntry], now: float) -> None:
-        """Report to the fronts that the store lists.
-
-        A gate deletes its entry only when its host has left for good, so without one
-        the host holds no flow from before this run.
-        """
-        if self.discovery.is_first_here:
-            self._gate.record_first_start()
+        """Report to the fronts that the store lists."""
         # The correction of an earlier entry may have failed.
         self._host_changed.set()
         fronts = [(node.ip, node.data_centre) for node in nodes if node.role == "front"]
--- a/tests/node/test_site.py
+++ b/tests/node/test_site.py
@@ -95,6 +95,48 @@
     assert not outcome.was_reset
 
 
+def test_flow_survives_a_gate_whose_earlier_process_never_reached_the_store(
+    tmp_path: Path,
+) -> None:
+    """Guards against a gate that takes a new entry for proof of no earlier gate."""
+
+    async def run() -> RequestOutcome:
+        async with open_site(tmp_path, fronts=1, gates=1) as site:
+            callers = site.caller_groups[0]
+            site.store.mode = "silent"
+            joined = await site.add_gate()
+            host = joined.host
+            assert host is not None
+            site.hosts[0].state = "draining"
+
+            async def is_used() -> bool:
+                await callers.request(site.fronts, deadline_s=1.0)
+                return bool(host.flows.received)
+
+            async def is_listed() -> bool:
+                entry = joined.ip.replace(".", "-")
+                return entry in site.store.list_names("nodes")
+
+            await wait_until(is_used, RECOVERY_S, "the host that joined is used")
+            held = asyncio.create_task(
+                callers.request(site.fronts, hold_s=4.0, deadline_s=8.0)
+            )
+            await asyncio.sleep(0.5)
+            site.processes.kill(joined.name)
+            site.store.mode = "up"
+            site.start_node(joined)
+            await wait_until(is_listed, RECOVERY_S, "the gate has an entry")
+            front = next(m for m in site.vms.values() if m.role == "front")
+            site.processes.kill(front.name)
+            site.start_node(front)
+            return await held
+
+    outcome = asyncio.run(run())
+    assert outcome.was_open
+    assert not outcome.was_reset
+    assert outcome.answer == b"answer request"
+
+
 def test_route_change_is_applied_in_time(tmp_path: Path) -> None:
     async def run() -> None:
         async with open_site(tmp_path) as site:
