Ask the host after its first heartbeat too

Cause: the first heartbeat of a host, or one of a later incarnation than the heartbeat before, was taken for proof that the host has started since this gate has. Both may be otherwise. A gate passes flows to a host that has started, before its first heartbeat, in the belief that it is the incarnation before; if the gate is then killed, the heartbeat reaches its next process.

Evidence: two tests, which failed before (reset within 1 s).

Change: heartbeats prove nothing about flows from before. What is left is what holds for every later host: nothing listened at the address once while this gate ran, or the gate is older than flows live.

Cost: a gate that has restarted beside its host goes on to ask for the rest of a minute if the host restarts as well. A packet of a lost flow then takes one round trip within the VM more. After a loss of all power the check at the start proves it as before.

The test worlds start hosts after their gates, which find that nothing listens, as on the users' platform. test_gate_denies_a_probed_flow_once_its_host_has_just_started: its host now gets the repeated search and bounces it, within 0.4 s.

--- a/src/balsamstream/flows/gate.py
+++ b/src/balsamstream/flows/gate.py
@@ -222,9 +222,6 @@
         unsettled = self._flows.list_added_since(since) if before else []
         if before:
             self._handle_host_end(now)
-        # A host that has just started holds no flow that this gate has not seen.
-        if before or heartbeat.sequence <= 1:
-            self._older_flows.record_all_seen("host started")
         self._older_flows.add_unsettled(unsettled, now)
         self._events.emit(
             "host_started",
--- a/tests/flows/deployment.py
+++ b/tests/flows/deployment.py
@@ -266,7 +266,7 @@
         self.desired = build_desired(1, {route: SERVICE})
 
     def add_gate(self, ip: str, data_centre: str = "medina", **more: Any) -> GateNode:
-        """Add a gate whose host has just started."""
+        """Add a gate, and a host that starts after it."""
         number = 1_000 * (len(self.gates) + 1)
         fields = {
             "service": SERVICE,
@@ -275,6 +275,7 @@
         } | more
         node = GateNode(self, ip, data_centre, **fields)
         self.gates[ip] = node
+        node.gate.record_refused_check(self.now)
         node.send_heartbeat()
         node.find_fronts()
         self.run()
--- a/tests/flows/flow_world.py
+++ b/tests/flows/flow_world.py
@@ -237,6 +237,7 @@
             self, ip, data_centre, SERVICE, 1, FlowHost(0), events=events, **more
         )
         self.gates[ip] = gate
+        gate.gate.record_refused_check(self.now)
         self.start_host(gate, self.random.uniform(0.0, 0.1))
         self.after_store(self._list_gate, gate, gate.gate)
         self._repeat(TICK_S, self._tick_gate, gate)
--- /dev/null
+++ b/tests/flows/test_older_flows.py
@@ -0,0 +1,85 @@
+"""What a gate may conclude on its host's flows from before the gate's start.
+
+In each test a host lives and holds a flow that its gate does not know.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from standins.flow_host import RST, Packet
+from tests.flows.deployment import Caller, Deployment, GateNode
+
+FRONT = "10.1.0.1"
+OTHER_FRONT = "10.1.0.2"
+GATES = tuple(f"10.1.0.{number}" for number in range(11, 14))
+RESET_S = 1.0
+"""Time for searches of fronts that know all gates."""
+
+
+@pytest.fixture
+def deployment() -> Deployment:
+    """Three gates and two fronts that know each other."""
+    built = Deployment()
+    for ip in GATES:
+        built.add_gate(ip)
+    for ip in (FRONT, OTHER_FRONT):
+        built.add_front(ip)
+    built.pass_time(1.0)
+    return built
+
+
+def open_flow(deployment: Deployment) -> Caller:
+    """Open a flow through the first front, with a request on it."""
+    caller = Caller(deployment)
+    caller.open(FRONT)
+    caller.send_request(FRONT)
+    return caller
+
+
+def list_resets(deployment: Deployment) -> list[Packet]:
+    """List the resets that callers got."""
+    return [packet for packet, _ in deployment.to_callers if packet.flags & RST]
+
+
+def check_served(deployment: Deployment, caller: Caller, holder: GateNode) -> None:
+    """Check that requests on the flow are answered through either front."""
+    for data in (b"one", b"another"):
+        for front in (OTHER_FRONT, FRONT):
+            deployment.to_callers.clear()
+            caller.send_request(front, data)
+            deployment.pass_time(RESET_S)
+            assert list_resets(deployment) == []
+            assert b"answer " + data in [each.data for each, _ in deployment.to_callers]
+    assert caller.get_holder() is holder
+
+
+def test_first_heartbeat_of_a_host_says_nothing_of_its_flows(
+    deployment: Deployment,
+) -> None:
+    """Guards against a gate that starts between a host's start and its first heartbeat.
+
+    Its earlier process took the host for the incarnation before and admitted flows.
+    """
+    caller = open_flow(deployment)
+    holder = caller.get_holder()
+    holder.incarnation += 1
+    holder.heartbeats = 0
+    holder.restart()
+    holder.send_heartbeat()
+    check_served(deployment, caller, holder)
+
+
+def test_late_heartbeat_of_an_earlier_host_says_nothing_of_the_next_one(
+    deployment: Deployment,
+) -> None:
+    """Guards against a gate that takes a late heartbeat for one of its own time."""
+    caller = open_flow(deployment)
+    holder = caller.get_holder()
+    late = holder.build_heartbeat()
+    holder.incarnation += 1
+    holder.heartbeats = 5
+    holder.restart()
+    holder.gate.handle_heartbeat(late, deployment.now)
+    holder.send_heartbeat()
+    check_served(deployment, caller, holder)
--- a/tests/flows/test_search.py
+++ b/tests/flows/test_search.py
@@ -20,6 +20,9 @@
 MAX_PROOF_S = 0.2
 """Time that a gate at which no flow is expected may delay a reset: it has 0.1 s to
 answer, and searches are looked at ten times a second."""
+MAX_RESEND_S = 0.4
+"""Time until a gate that is heard gets a search again and has asked its host: searches
+are repeated after 0.2 s, and looked at ten times a second."""
 LINK_BYTES_PER_S = 5e6 / 8
 """Narrowest link of a front in the users' deployments."""
 QUEUE_S = 0.25
@@ -302,10 +305,11 @@
     restart_without_host(holder)
     assert caller.send_request("10.1.0.2", b"early") == []
     holder.host = FlowHost(9_000)
+    holder.has_host = True
     holder.incarnation = 2
     holder.heartbeats = 0
     holder.send_heartbeat()
-    deployment.run()
+    deployment.pass_time(MAX_RESEND_S)
     assert is_last_packet_reset(deployment)
 
 
