Ask a new host for every flow that its gate knew

Cause: at a new incarnation the gate asked only for the flows added since the last heartbeat of the former one, less a second. A heartbeat may be later than that: it then hides a flow from before its arrival. At the next incarnation the flows in doubt of the one before were forgotten, although that one may itself have been heard late.

Evidence: two tests, which failed before.

Change: all flows of the table are in doubt at a new incarnation, and stay so until the host is asked or they are older than flows live. The constant for the time of a heartbeat goes, and the time at which a flow was added.

Cost: the first packet of each flow that ended with its host is bounced by the new one in place of a denial by its gate, one round trip within the VM. Fronts reset most of them before (flows_reset).

test_new_incarnation_is_logged_with_the_flows_that_it_discards: all of them are unsettled now.

--- a/src/balsamstream/flows/flow_table.py
+++ b/src/balsamstream/flows/flow_table.py
@@ -73,8 +73,6 @@
         Time of the last byte of the caller's latest request, in seconds; 0 for none.
     answered_at : float
         Time of the host's answer to the opening packet, in seconds; 0 for none.
-    added_at : float
-        Time at which this gate first knew of the flow, in seconds.
     """
 
     front: str
@@ -89,7 +87,6 @@
     ended_by: int = 0
     request_at: float = 0.0
     answered_at: float = 0.0
-    added_at: float = 0.0
 
     def is_opened_by(self, packet: bytes) -> bool:
         """Return whether an opening packet is a copy of the one that opened the flow.
@@ -190,7 +187,7 @@
         initial_seq = packets.get_seq(packet)
         route = self.work.get_route(flow)
         route.in_flight += 1
-        entry = Flow(front, now, route, initial_seq, pending_since=now, added_at=now)
+        entry = Flow(front, now, route, initial_seq, pending_since=now)
         # Packets of the flow may have passed while its opening packet waited.
         is_open = self.may_miss_flows or flow in self._flows
         if packets.get_ack(packet) or is_open:
@@ -205,7 +202,7 @@
         A full table returns the state without storing it.
         """
         route = self.work.get_route(flow)
-        entry = Flow("", now, route, is_confirmed=True, added_at=now)
+        entry = Flow("", now, route, is_confirmed=True)
         # Not every packet of the flow has passed here.
         if packets.get_flags(packet) & packets.ACK:
             entry.caller_next_seq = packets.get_ack(packet)
@@ -214,9 +211,9 @@
             self._flows[flow] = entry
         return entry
 
-    def list_added_since(self, at: float) -> list[bytes]:
-        """List the flows that this gate has known of since a time, in seconds."""
-        return [flow for flow, each in self._flows.items() if each.added_at >= at]
+    def list_keys(self) -> list[bytes]:
+        """List the keys of all flows."""
+        return list(self._flows)
 
     def remove(self, flow: bytes) -> None:
         """Remove a flow."""
--- a/src/balsamstream/flows/gate.py
+++ b/src/balsamstream/flows/gate.py
@@ -44,8 +44,6 @@
     from .messages import RouteReport
 
 EXPIRE_INTERVAL_S: Final = 1.0
-HEARTBEAT_DELAY_S: Final = 1.0
-"""Time that a heartbeat may take from its host to the gate."""
 
 
 class GateTransport(Protocol):
@@ -214,15 +212,12 @@
     def _start_incarnation(self, heartbeat: Heartbeat, before: int, now: float) -> None:
         """Discard the flows of the former incarnation.
 
-        The host may have taken flows between the last heartbeat of the former one and
-        this first heartbeat.
+        The host may have taken any of them before this first heartbeat arrived, as
+        heartbeats may be late, so it is asked for each.
         """
         flows = len(self._flows)
-        since = self._heartbeat_at - HEARTBEAT_DELAY_S
-        unsettled = self._flows.list_added_since(since) if before else []
         if before:
             self._handle_host_end(now)
-        self._older_flows.add_unsettled(unsettled, now)
         self._events.emit(
             "host_started",
             host=heartbeat.host,
@@ -232,12 +227,13 @@
             before=before,
             heartbeat_age_s=round(now - self._heartbeat_at, 3),
             discarded=flows if before else 0,
-            unsettled=len(unsettled),
+            unsettled=self._older_flows.count_unsettled(),
         )
 
     def _handle_host_end(self, now: float) -> None:
         """Discard the flows of a host that has ended, and decline those not open."""
         self._dispatcher.handle_host_end(now)
+        self._older_flows.add_unsettled(self._flows.list_keys(), now)
         self._flows.clear()
 
     def record_refused_check(self, now: float) -> None:
--- a/src/balsamstream/flows/older_flows.py
+++ b/src/balsamstream/flows/older_flows.py
@@ -68,8 +68,16 @@
         return self.may_exist(now)
 
     def add_unsettled(self, flows: Iterable[bytes], now: float) -> None:
-        """Add flows that may have opened at the present incarnation of the host."""
-        self._unsettled = dict.fromkeys(flows, now)
+        """Add flows that may have opened at the present incarnation of the host.
+
+        Those added before stay in doubt: what was taken for the present incarnation may
+        have been a former one whose heartbeat was late.
+        """
+        self._unsettled.update(dict.fromkeys(flows, now))
+
+    def count_unsettled(self) -> int:
+        """Return how many flows may have opened at the present incarnation."""
+        return len(self._unsettled)
 
     def record_all_seen(self, reason: str) -> None:
         """Record that the host holds no flow that the gate has not seen open."""
--- a/tests/flows/test_older_flows.py
+++ b/tests/flows/test_older_flows.py
@@ -83,3 +83,46 @@
     holder.gate.handle_heartbeat(late, deployment.now)
     holder.send_heartbeat()
     check_served(deployment, caller, holder)
+
+
+def open_flow_at(deployment: Deployment, gate: GateNode) -> Caller:
+    """Open flows until one is at a host, with a request on each."""
+    for port in range(40_001, 40_100):
+        caller = Caller(deployment, port)
+        caller.open(FRONT)
+        caller.send_request(FRONT)
+        if caller.get_holder() is gate:
+            return caller
+    raise AssertionError(f"no flow was placed at {gate.ip}")
+
+
+def test_flow_opened_before_a_late_heartbeat_of_the_host_before_is_asked_for(
+    deployment: Deployment,
+) -> None:
+    """Guards against a gate that counts back from the arrival of a heartbeat."""
+    gate = deployment.gates[GATES[0]]
+    gate.sends_heartbeats = False
+    late = gate.build_heartbeat()
+    gate.restart_host()
+    caller = open_flow_at(deployment, gate)
+    deployment.pass_time(1.5)
+    gate.gate.handle_heartbeat(late, deployment.now)
+    gate.send_heartbeat()
+    gate.sends_heartbeats = True
+    check_served(deployment, caller, gate)
+
+
+def test_flow_is_asked_for_after_several_starts_that_were_heard_late(
+    deployment: Deployment,
+) -> None:
+    """Guards against a gate that forgets at the next start which flows are in doubt."""
+    gate = deployment.gates[GATES[0]]
+    gate.sends_heartbeats = False
+    gate.restart_host(9_000)
+    late = gate.build_heartbeat()
+    gate.restart_host(19_000)
+    caller = open_flow_at(deployment, gate)
+    gate.gate.handle_heartbeat(late, deployment.now)
+    gate.send_heartbeat()
+    gate.sends_heartbeats = True
+    check_served(deployment, caller, gate)
--- a/tests/flows/test_reset_logs.py
+++ b/tests/flows/test_reset_logs.py
@@ -185,7 +185,7 @@
     restart_host(gate)
     fields = read(gate.events, "host_started")
     assert fields["discarded"] == len(held)
-    assert fields["unsettled"] == len(held) - 1
+    assert fields["unsettled"] == len(held)
     assert fields["heartbeat_age_s"] == pytest.approx(0.5, abs=0.02)
 
 
