Ask a silent host, and check again whether there is one

Cause: a gate that had no heartbeat for two intervals since its start concluded that there is no host. Silence proves nothing.

One test, which failed before.

Change: the gate connects to its host at its start, as before, and again once each heartbeat interval while the host is silent and may hold flows unknown to the gate. A refused connection proves that there are none, also if the host was heard before, which shortens the wait for a host that has crashed (a second test, and a process test of it; both failed before). A check during which a heartbeat arrives proves nothing (a third).

Cost: a host that runs and neither sends heartbeats nor answers packets is asked for a minute; callers of such flows wait.

--- a/src/balsamstream/flows/gate.py
+++ b/src/balsamstream/flows/gate.py
@@ -236,9 +236,22 @@
         self._older_flows.add_unsettled(self._flows.list_keys(), now)
         self._flows.clear()
 
-    def record_refused_check(self, now: float) -> None:
-        """Record that nothing listens at the host's address, so no flow is held."""
-        if not self._host.record_refused_check():
+    def needs_host_check(self, now: float) -> bool:
+        """Return whether to find out if any host listens at the host's address."""
+        return self._older_flows.is_in_doubt and self._host.may_be_absent(now)
+
+    def record_refused_check(self, checked_at: float, now: float) -> None:
+        """Record that nothing listened at the host's address, so no flow was held.
+
+        Parameters
+        ----------
+        checked_at : float
+            Time at which the check began, in seconds. Nothing is concluded if the host
+            was heard since.
+        now : float
+            Time, in seconds.
+        """
+        if self._host.was_heard_since(checked_at):
             return
         self._events.emit("host_absent", reason="connection refused")
         self._older_flows.record_all_seen("no host")
@@ -370,7 +383,6 @@
         if not packets.is_packet(packet):
             self._events.count("packets.unreadable")
             return
-        self._host.record_packet()
         if packets.get_flags(packet) & packets.BOUNCED:
             self._handle_bounced(packet, now)
         else:
@@ -429,7 +441,6 @@
         self._send_load_if_changed(now)
         if self.reporter.is_due(now):
             self._expire_heartbeat(now)
-            self._older_flows.deny_without_host(now)
             self.reporter.tick(now)
         self._admission.evacuations.tick(now)
         if now >= self._expire_due:
--- a/src/balsamstream/flows/host_record.py
+++ b/src/balsamstream/flows/host_record.py
@@ -10,9 +10,8 @@
 
 MISSED_HEARTBEATS: Final = 3.5
 """Heartbeat intervals without a heartbeat after which a host gets no new flows."""
-HEARTBEATS_TO_ABSENCE: Final = 2.0
-"""Heartbeat intervals without any sign of a host since the start of the gate after
-which there is none beside it."""
+HEARTBEATS_TO_CHECK: Final = 2.0
+"""Heartbeat intervals without a heartbeat after which there may be no host."""
 
 
 class HeartbeatOutcome(enum.Enum):
@@ -40,12 +39,10 @@
     def __init__(self, service: str, heartbeat_s: float, now: float) -> None:
         self._service = service
         self._timeout_s = heartbeat_s * MISSED_HEARTBEATS
+        self._check_s = heartbeat_s * HEARTBEATS_TO_CHECK
         self._last_heartbeat: Heartbeat | None = None
         self._last_heard_at = now
         self._is_silent = False
-        self._is_seen = False
-        self._absent_from = now + heartbeat_s * HEARTBEATS_TO_ABSENCE
-        self._is_check_refused = False
 
     @property
     def state(self) -> HostState:
@@ -69,26 +66,16 @@
         """Requests that the host processes at once, 1 before its first heartbeat."""
         return 1 if self._last_heartbeat is None else self._last_heartbeat.slots
 
-    def record_packet(self) -> None:
-        """Record a packet of the host, which proves that there is one."""
-        self._is_seen = True
+    def was_heard_since(self, at: float) -> bool:
+        """Return whether a heartbeat has arrived since a time, in seconds."""
+        return self._last_heartbeat is not None and self._last_heard_at >= at
 
-    def record_refused_check(self) -> bool:
-        """Record that nothing listens at the host's address; False if a host is known.
+    def may_be_absent(self, now: float) -> bool:
+        """Return whether the host has been silent for so long that it may be away.
 
-        A host may start later, but it then holds no flow from before.
+        Silence proves nothing: its heartbeats may be lost or late.
         """
-        self._is_check_refused = not self._has_sign()
-        return self._is_check_refused
-
-    def is_absent(self, now: float) -> bool:
-        """Return whether there is no host, by a check or by its long silence."""
-        if self._has_sign():
-            return False
-        return self._is_check_refused or now >= self._absent_from
-
-    def _has_sign(self) -> bool:
-        return self._is_seen or self._last_heartbeat is not None
+        return now - self._last_heard_at >= self._check_s
 
     def get_heartbeat_age_s(self, now: float) -> float:
         """Return the time since the last heartbeat, in seconds."""
@@ -132,7 +119,6 @@
     def handle_pause(self, gap_s: float) -> None:
         """Exclude a pause of this process from the host's silence."""
         self._last_heard_at += gap_s
-        self._absent_from += gap_s
 
 
 __all__ = ["MISSED_HEARTBEATS", "HeartbeatOutcome", "HostRecord"]
--- a/src/balsamstream/flows/older_flows.py
+++ b/src/balsamstream/flows/older_flows.py
@@ -59,7 +59,7 @@
             return False
         if self._unsettled:
             return True
-        return not self._probes.has_seen_all_flows and not self._host.is_absent(now)
+        return not self._probes.has_seen_all_flows
 
     def may_include(self, flow: bytes, now: float) -> bool:
         """Return whether the host may hold a flow that the gate does not know."""
@@ -123,11 +123,6 @@
                 self._events.count("packets.ambiguous")
         return False
 
-    def deny_without_host(self, now: float) -> None:
-        """Deny the flows of all pending probes if there is no host to answer them."""
-        if self._host.is_absent(now):
-            self._deny_probes("no host")
-
     def expire(self, now: float) -> None:
         """Discard probes without a response, and stop probing after the lifetime."""
         self._probes.expire(now)
--- a/src/balsamstream/node/gate.py
+++ b/src/balsamstream/node/gate.py
@@ -49,6 +49,7 @@
         self._host_found = asyncio.Event()
         self._host_changed = asyncio.Event()
         self._host_address = split_address(host.address)
+        self._check_interval_s = host.heartbeat_ms / 1_000
         self._callers_port = split_address(settings.callers)[1]
         self._host_socket = DatagramSocket(
             split_address(host.packets),
@@ -84,9 +85,18 @@
                 await self.discovery.leave()
 
     async def _check_host(self) -> None:
-        """Find out at the start whether any host runs beside this gate."""
-        if not await self._may_have_host():
-            self._gate.record_refused_check(asyncio.get_running_loop().time())
+        """Find out whether any host runs beside this gate, whenever that matters.
+
+        The first check is made at the start, mostly before the host starts.
+        """
+        loop = asyncio.get_running_loop()
+        is_due = True
+        while True:
+            checked_at = loop.time()
+            if is_due and not await self._may_have_host():
+                self._gate.record_refused_check(checked_at, loop.time())
+            await asyncio.sleep(self._check_interval_s)
+            is_due = self._gate.needs_host_check(loop.time())
 
     async def _may_have_host(self) -> bool:
         """Connect to the host; return False if nothing listens at its address.
--- a/tests/flows/deployment.py
+++ b/tests/flows/deployment.py
@@ -147,6 +147,12 @@
         }
         return Heartbeat(**(fields | changes))
 
+    def check_host(self) -> None:
+        """Connect to the host if its gate needs to know whether there is one."""
+        now = self.deployment.now
+        if not self.has_host and self.gate.needs_host_check(now):
+            self.gate.record_refused_check(now, now)
+
     def send_to_host(self, packet: bytes) -> None:
         """Deliver a packet to the host, if there is one."""
         if not self.has_host:
@@ -275,7 +281,7 @@
         } | more
         node = GateNode(self, ip, data_centre, **fields)
         self.gates[ip] = node
-        node.gate.record_refused_check(self.now)
+        node.gate.record_refused_check(self.now, self.now)
         node.send_heartbeat()
         node.find_fronts()
         self.run()
@@ -327,6 +333,7 @@
             for gate in self.gates.values():
                 if gate.is_up:
                     gate.gate.tick(self.now)
+                    gate.check_host()
             for front in self.fronts.values():
                 if front.is_up:
                     front.front.tick(self.now)
--- a/tests/flows/flow_world.py
+++ b/tests/flows/flow_world.py
@@ -237,7 +237,7 @@
             self, ip, data_centre, SERVICE, 1, FlowHost(0), events=events, **more
         )
         self.gates[ip] = gate
-        gate.gate.record_refused_check(self.now)
+        gate.gate.record_refused_check(self.now, self.now)
         self.start_host(gate, self.random.uniform(0.0, 0.1))
         self.after_store(self._list_gate, gate, gate.gate)
         self._repeat(TICK_S, self._tick_gate, gate)
@@ -260,6 +260,8 @@
         if not gate.is_up:
             return
         gate.gate.tick(self.now)
+        gate.has_host = gate.server is not None
+        gate.check_host()
         if gate.is_unlisted:
             self._contact_seeds(gate)
 
@@ -292,7 +294,7 @@
         gate.gate_incarnation += 1
         gate.start()
         if gate.server is None:
-            gate.gate.record_refused_check(self.now)
+            gate.gate.record_refused_check(self.now, self.now)
         self.after_store(self._list_gate, gate, gate.gate)
 
     def start_host(self, gate: WorldGate, first_beat_s: float) -> None:
--- a/tests/flows/test_older_flows.py
+++ b/tests/flows/test_older_flows.py
@@ -7,8 +7,9 @@
 
 import pytest
 
+from balsamstream.flows.host_record import HEARTBEATS_TO_CHECK
 from standins.flow_host import RST, Packet
-from tests.flows.deployment import Caller, Deployment, GateNode
+from tests.flows.deployment import HEARTBEAT_S, Caller, Deployment, GateNode
 
 FRONT = "10.1.0.1"
 OTHER_FRONT = "10.1.0.2"
@@ -126,3 +127,42 @@
     gate.send_heartbeat()
     gate.sends_heartbeats = True
     check_served(deployment, caller, gate)
+
+
+def test_host_whose_heartbeats_are_lost_is_asked(deployment: Deployment) -> None:
+    """Guards against a gate that takes the silence of its host for its absence."""
+    caller = open_flow(deployment)
+    holder = caller.get_holder()
+    holder.sends_heartbeats = False
+    holder.restart()
+    deployment.pass_time(HEARTBEATS_TO_CHECK * HEARTBEAT_S + 1.0)
+    check_served(deployment, caller, holder)
+
+
+def test_refused_check_ends_the_doubt_of_a_gate_whose_host_was_heard(
+    deployment: Deployment,
+) -> None:
+    """Guards against callers who wait for a host that has crashed."""
+    caller = open_flow(deployment)
+    holder = caller.get_holder()
+    holder.restart()
+    holder.send_heartbeat()
+    holder.has_host = holder.sends_heartbeats = False
+    deployment.pass_time(HEARTBEATS_TO_CHECK * HEARTBEAT_S + 0.1)
+    caller.send_request(OTHER_FRONT, b"more")
+    deployment.pass_time(RESET_S)
+    assert len(list_resets(deployment)) == 1
+
+
+def test_check_that_a_heartbeat_has_overtaken_proves_nothing(
+    deployment: Deployment,
+) -> None:
+    """Guards against a refused connection that is read after the host has started."""
+    caller = open_flow(deployment)
+    holder = caller.get_holder()
+    holder.restart()
+    checked_at = deployment.now
+    deployment.pass_time(0.3)
+    holder.send_heartbeat()
+    holder.gate.record_refused_check(checked_at, deployment.now)
+    check_served(deployment, caller, holder)
--- a/tests/flows/test_reset_logs.py
+++ b/tests/flows/test_reset_logs.py
@@ -201,5 +201,5 @@
     gate = deployment.gates[HOSTS[0]]
     gate.events.lines.clear()
     gate.restart()
-    gate.gate.record_refused_check(deployment.now)
+    gate.gate.record_refused_check(deployment.now, deployment.now)
     assert read(gate.events, "all_flows_seen") == {"reason": "no host"}
--- a/tests/flows/test_search.py
+++ b/tests/flows/test_search.py
@@ -5,7 +5,7 @@
 import pytest
 
 from balsamstream.flows.heartbeat import HostState
-from balsamstream.flows.host_record import HEARTBEATS_TO_ABSENCE
+from balsamstream.flows.host_record import HEARTBEATS_TO_CHECK
 from balsamstream.flows.messages import Kind, encode_search_request
 from balsamstream.flows.placement import Host
 from balsamstream.flows.search import MAX_RELAY_TARGETS, plan_relays
@@ -277,7 +277,7 @@
         if gate is not empty:
             gate.send_heartbeat()
     caller.send_request("10.1.0.2")
-    deployment.pass_time(HEARTBEATS_TO_ABSENCE * HEARTBEAT_S + 0.6)
+    deployment.pass_time(HEARTBEATS_TO_CHECK * HEARTBEAT_S + 0.6)
     resets = [packet for packet, _ in deployment.to_callers if packet.flags & RST]
     assert len(resets) == 1
 
@@ -287,7 +287,7 @@
     caller = open_flow(deployment)
     holder = caller.get_holder()
     restart_without_host(holder)
-    deployment.pass_time(HEARTBEATS_TO_ABSENCE * HEARTBEAT_S - 0.5)
+    deployment.pass_time(HEARTBEATS_TO_CHECK * HEARTBEAT_S - 0.5)
     caller.send_request("10.1.0.2", b"early")
     deployment.pass_time(0.3)
     assert not any(packet.flags & RST for packet, _ in deployment.to_callers)
@@ -320,7 +320,7 @@
     holder = caller.get_holder()
     empty = get_other_gate(deployment, holder)
     restart_without_host(empty)
-    empty.gate.record_refused_check(deployment.now)
+    empty.gate.record_refused_check(deployment.now, deployment.now)
     deployment.pass_time(1.0)
     empty.is_up = False
     restart_host(holder)
@@ -348,7 +348,7 @@
     holder = caller.get_holder()
     restart_without_host(holder)
     assert caller.send_request("10.1.0.2", b"early") == []
-    holder.gate.record_refused_check(deployment.now)
+    holder.gate.record_refused_check(deployment.now, deployment.now)
     deployment.run()
     assert is_last_packet_reset(deployment)
 
@@ -359,7 +359,7 @@
     holder = caller.get_holder()
     holder.restart()
     holder.send_heartbeat()
-    holder.gate.record_refused_check(deployment.now)
+    holder.gate.record_refused_check(deployment.now, deployment.now)
     (answer,) = caller.send_request("10.1.0.2", b"again")
     assert answer.data == b"answer again"
 
@@ -372,7 +372,7 @@
     holder = caller.get_holder()
     empty = get_other_gate(deployment, holder)
     restart_without_host(empty)
-    empty.gate.record_refused_check(deployment.now)
+    empty.gate.record_refused_check(deployment.now, deployment.now)
     deployment.pass_time(1.0)
     empty.gate.leave(deployment.now)
     deployment.run()
--- a/tests/node/test_site.py
+++ b/tests/node/test_site.py
@@ -137,6 +137,31 @@
     assert outcome.answer == b"answer request"
 
 
+def test_flow_of_a_host_that_ends_beside_a_restarted_gate_is_reset(
+    tmp_path: Path,
+) -> None:
+    """Guards against callers who wait for a host that has crashed without a word."""
+
+    async def run() -> RequestOutcome:
+        async with open_site(tmp_path, fronts=1, gates=2) as site:
+            callers = site.caller_groups[0]
+            held = asyncio.create_task(
+                callers.request(site.fronts, hold_s=3.0, deadline_s=7.0)
+            )
+            await asyncio.sleep(0.3)
+            for vm in [each for each in site.vms.values() if each.role == "gate"]:
+                site.processes.kill(vm.name)
+                site.start_node(vm)
+            await site.wait_ready()
+            for host in site.hosts:
+                await host.close()
+            return await held
+
+    outcome = asyncio.run(run())
+    assert outcome.was_open
+    assert outcome.was_reset
+
+
 def test_route_change_is_applied_in_time(tmp_path: Path) -> None:
     async def run() -> None:
         async with open_site(tmp_path) as site:
