Ask a host that has left until nothing listens there

Cause: 'the host has left' ended the gate's doubt, and fronts that heard of it awaited no answer. The message names the host, not its start, and may be late like any other.

Evidence: two tests, which failed before: a denial by the gate, and a front that resets after 0.1 s although the gate asks its host.

Change: while the gate may not know all flows, it checks after the last message whether anything listens; until a connection is refused it asks, and reports the host as unknown. Its entry in the store says that the host has left once it reports so. A gate that knows all flows does as before. may_exist and may_include no longer look at the host's state.

A third test: the flow of a host that has left and ended is reset within half a second.

--- a/src/balsamstream/flows/gate.py
+++ b/src/balsamstream/flows/gate.py
@@ -120,7 +120,7 @@
             self._decline,
         )
         self._replies = SearchReplies(transport.send_to_node, events)
-        self._older_flows = OlderFlows(self._host, self._replies, events, now)
+        self._older_flows = OlderFlows(self._replies, events, now)
         self._later_packets = LaterPackets(
             events,
             self._flows,
@@ -159,6 +159,11 @@
             return HostState.UNKNOWN
         return self._host.state
 
+    @property
+    def is_without_host(self) -> bool:
+        """Whether the host has left, with all flows that this gate may not know."""
+        return self._host.state is HostState.GONE and not self._older_flows.is_in_doubt
+
     @property
     def has_pending_work(self) -> bool:
         """Whether opening packets or a changed load wait for the next tick."""
@@ -339,7 +344,7 @@
             self._decline(opening, reason, now)
             return
         self._flows.remove(flow)
-        self._flows.may_miss_flows = self._older_flows.may_exist(now)
+        self._flows.may_miss_flows = self._older_flows.is_in_doubt
         self._dispatcher.submit(opening, now)
 
     def _handle_copy(self, packet: bytes, entry: Flow, sender: str, now: float) -> None:
@@ -469,7 +474,7 @@
         self._flows.is_load_changed = False
         wait_s = self._dispatcher.compute_wait_s(now) or 0.0
         self._expected_wait_s = wait_s
-        state = self._get_reported_state(now)
+        state = self._get_reported_state()
         self.reporter.send_load(len(self._flows), state, wait_s, now)
 
     def handle_pause(self, gap_s: float, now: float) -> None:
@@ -498,7 +503,7 @@
             host=self._host.name,
             service=self._service,
             data_centre=self._data_centre,
-            state=self._get_reported_state(now),
+            state=self._get_reported_state(),
             slots=self._host.slots,
             cold_left_s=round(self._host.get_cold_left_s(now), 3),
             in_flight=self._count_in_flight(),
@@ -506,7 +511,7 @@
             evacuations_era=self._admission.evacuations.latest.era,
             evacuations_revision=self._admission.evacuations.latest.revision,
             seeks_hello=seeks_hello,
-            may_hold_flows=self._may_hold_flows(now),
+            may_hold_flows=self._may_hold_flows(),
             protocol=PROTOCOL,
             routes=self._build_routes(now),
             wait_ms=clamp_ms(wait_s or 0.0),
@@ -518,17 +523,20 @@
             return []
         return self._answers.build_reports(now, len(self.reporter.fronts))
 
-    def _may_hold_flows(self, now: float) -> bool:
-        return len(self._flows) > 0 or self._older_flows.may_exist(now)
+    def _may_hold_flows(self) -> bool:
+        return len(self._flows) > 0 or self._older_flows.is_in_doubt
 
-    def _get_reported_state(self, now: float) -> HostState:
+    def _get_reported_state(self) -> HostState:
         """Return the state of the host, as gone if this gate stops and holds no flow.
 
-        Fronts then await no answer of the gate to their searches. The next gate at this
-        address reports again.
+        Fronts await no answer of a gate whose host is gone, so it is not while it may
+        hold flows that this gate does not know. The next gate at this address reports
+        again.
         """
-        if self._is_leaving and not self._may_hold_flows(now):
+        if self._is_leaving and not self._may_hold_flows():
             return HostState.GONE
+        if self.state is HostState.GONE and not self.is_without_host:
+            return HostState.UNKNOWN
         return self.state
 
     def _expire(self, now: float) -> None:
--- a/src/balsamstream/flows/host_record.py
+++ b/src/balsamstream/flows/host_record.py
@@ -71,10 +71,13 @@
         return self._last_heartbeat is not None and self._last_heard_at >= at
 
     def may_be_absent(self, now: float) -> bool:
-        """Return whether the host has been silent for so long that it may be away.
+        """Return whether the host has left, or is silent, so that it may be away.
 
-        Silence proves nothing: its heartbeats may be lost or late.
+        Neither proves it: its heartbeats may be lost or late, and so may be the last
+        message of a host that ran before under the same name.
         """
+        if self.state is HostState.GONE:
+            return True
         return now - self._last_heard_at >= self._check_s
 
     def get_heartbeat_age_s(self, now: float) -> float:
--- a/src/balsamstream/flows/later_packets.py
+++ b/src/balsamstream/flows/later_packets.py
@@ -128,7 +128,7 @@
     def _handle_unknown_flow(
         self, packet: bytes, flow: bytes, sender: str, now: float, *, is_search: bool
     ) -> None:
-        if not self._older_flows.may_include(flow, now):
+        if not self._older_flows.may_include(flow):
             self.report_not_held(packet, flow, sender, "not held", is_search=is_search)
             return
         # Only the host knows whether it holds the flow.
--- a/src/balsamstream/flows/older_flows.py
+++ b/src/balsamstream/flows/older_flows.py
@@ -1,26 +1,26 @@
 """Flows that a host may hold although its gate does not know them.
 
-They are from before the gate started, or from between the last heartbeat of a former
-incarnation of the host and the first one of the present incarnation.
+They are from before the gate started, or from around a start of the host, of which the
+gate hears late.
 
 Load pattern: nodes restart under load, or all machines lose power, and callers go on
 with flows that the gate has never seen. A front resets such a flow only when every gate
-has denied it, so a gate denies as soon as it can be certain, and asks its host until
-then.
+has denied it, so a gate asks its host until it is certain. Only this proves that there
+are no such flows, for every later host: nothing listened at the host's address once
+while this process ran, or this process is older than flows live. What the store, a
+heartbeat or a silence says may be from another time.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from .heartbeat import HostState
 from .host_probes import FLOW_LIFETIME_S, HostProbes, ProbeResult
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from .events import Events
-    from .host_record import HostRecord
     from .search_replies import SearchReplies
 
 
@@ -29,8 +29,6 @@
 
     Parameters
     ----------
-    host : HostRecord
-        Last heartbeat of the host.
     replies : SearchReplies
         Sends the results of probes.
     events : Events
@@ -39,10 +37,7 @@
         Start of the gate, in seconds.
     """
 
-    def __init__(
-        self, host: HostRecord, replies: SearchReplies, events: Events, now: float
-    ) -> None:
-        self._host = host
+    def __init__(self, replies: SearchReplies, events: Events, now: float) -> None:
         self._replies = replies
         self._events = events
         self._probes = HostProbes(now)
@@ -50,22 +45,12 @@
 
     @property
     def is_in_doubt(self) -> bool:
-        """Whether nothing has proved yet that the gate has seen all flows open."""
+        """Whether the host may hold flows that the gate does not know."""
         return bool(self._unsettled) or not self._probes.has_seen_all_flows
 
-    def may_exist(self, now: float) -> bool:
-        """Return whether the host may hold flows that the gate does not know."""
-        if self._host.state is HostState.GONE:
-            return False
-        if self._unsettled:
-            return True
-        return not self._probes.has_seen_all_flows
-
-    def may_include(self, flow: bytes, now: float) -> bool:
+    def may_include(self, flow: bytes) -> bool:
         """Return whether the host may hold a flow that the gate does not know."""
-        if self._probes.has_seen_all_flows and flow not in self._unsettled:
-            return False
-        return self.may_exist(now)
+        return not self._probes.has_seen_all_flows or flow in self._unsettled
 
     def add_unsettled(self, flows: Iterable[bytes], now: float) -> None:
         """Add flows that may have opened at the present incarnation of the host.
--- a/src/balsamstream/node/gate.py
+++ b/src/balsamstream/node/gate.py
@@ -79,7 +79,7 @@
         has_host = await self._may_have_host()
         self._gate.leave(asyncio.get_running_loop().time(), has_host=has_host)
         await asyncio.sleep(STOP_DELAY_S)
-        if self._gate.state is HostState.GONE:
+        if self._gate.is_without_host:
             await self.kernel.end_task("update_entry")
             async with asyncio.timeout(DELETE_TIMEOUT_S):
                 await self.discovery.leave()
@@ -95,6 +95,7 @@
             checked_at = loop.time()
             if is_due and not await self._may_have_host():
                 self._gate.record_refused_check(checked_at, loop.time())
+                self._detect_host_change()
             await asyncio.sleep(self._check_interval_s)
             is_due = self._gate.needs_host_check(loop.time())
 
@@ -200,8 +201,7 @@
         return Response(200)
 
     def _detect_host_change(self) -> None:
-        is_without_host = self._gate.state is HostState.GONE
-        if is_without_host != self.discovery.is_without_host:
+        if self._gate.is_without_host != self.discovery.is_without_host:
             self._host_changed.set()
 
     async def _update_entry(self) -> None:
@@ -209,7 +209,7 @@
         while True:
             await self._host_changed.wait()
             self._host_changed.clear()
-            is_without_host = self._gate.state is HostState.GONE
+            is_without_host = self._gate.is_without_host
             await self.discovery.update_host(is_without_host=is_without_host)
 
 
--- a/tests/flows/flow_world.py
+++ b/tests/flows/flow_world.py
@@ -91,6 +91,7 @@
     late_until: float = 0.0
     is_unlisted: bool = False
     seeds_due: float = 0.0
+    was_left: bool = False
 
     def start(self) -> None:
         """Start the gate's process without any state."""
@@ -262,9 +263,16 @@
         gate.gate.tick(self.now)
         gate.has_host = gate.server is not None
         gate.check_host()
+        self._mark_if_left(gate)
         if gate.is_unlisted:
             self._contact_seeds(gate)
 
+    def _mark_if_left(self, gate: WorldGate) -> None:
+        is_left = gate.gate.is_without_host
+        if is_left and not gate.was_left:
+            self.mark_left(gate, is_left=True)
+        gate.was_left = is_left
+
     def _contact_seeds(self, gate: WorldGate) -> None:
         """Report to all fronts, as while the store is silent; see `GateService`."""
         is_found = gate.gate.state is not HostState.UNKNOWN
@@ -335,7 +343,7 @@
         if not gate.is_up:
             return
         gate.gate.handle_leave(f"i-{gate.ip}", self.now)
-        self.mark_left(gate, is_left=gate.gate.state is HostState.GONE)
+        self._mark_if_left(gate)
 
     def mark_left(self, gate: WorldGate, *, is_left: bool) -> None:
         """Let the store list whether a gate's host has left, after some time."""
--- a/tests/flows/test_older_flows.py
+++ b/tests/flows/test_older_flows.py
@@ -166,3 +166,49 @@
     holder.send_heartbeat()
     holder.gate.record_refused_check(checked_at, deployment.now)
     check_served(deployment, caller, holder)
+
+
+def test_late_last_message_of_an_earlier_host_says_nothing_of_the_next_one(
+    deployment: Deployment,
+) -> None:
+    """Guards against a gate that denies flows as the host before has left."""
+    caller = open_flow(deployment)
+    holder = caller.get_holder()
+    holder.restart()
+    holder.send_heartbeat()
+    holder.gate.handle_leave(f"i-{holder.ip}", deployment.now)
+    deployment.pass_time(1.0)
+    check_served(deployment, caller, holder)
+
+
+def test_gate_in_doubt_is_awaited_after_the_last_message_of_its_host(
+    deployment: Deployment,
+) -> None:
+    """Guards against a front that takes the last message of a host for its end."""
+    caller = open_flow(deployment)
+    holder = caller.get_holder()
+    holder.restart()
+    holder.send_heartbeat()
+    holder.gate.handle_leave(f"i-{holder.ip}", deployment.now)
+    holder.host.answers = False
+    deployment.pass_time(0.5)
+    caller.send_request(OTHER_FRONT, b"one")
+    deployment.pass_time(RESET_S)
+    assert list_resets(deployment) == []
+    holder.host.answers = True
+    check_served(deployment, caller, holder)
+
+
+def test_flow_of_a_host_that_has_left_and_ended_is_reset(
+    deployment: Deployment,
+) -> None:
+    """Guards against callers who wait for a host that has left."""
+    caller = open_flow(deployment)
+    holder = caller.get_holder()
+    holder.restart()
+    holder.send_heartbeat()
+    holder.gate.handle_leave(f"i-{holder.ip}", deployment.now)
+    holder.has_host = holder.sends_heartbeats = False
+    caller.send_request(OTHER_FRONT, b"one")
+    deployment.pass_time(0.5)
+    assert len(list_resets(deployment)) == 1
