--- a/tests/flows/test_older_flows.py
+++ b/tests/flows/test_older_flows.py
@@ -212,3 +212,19 @@
     caller.send_request(OTHER_FRONT, b"one")
     deployment.pass_time(0.5)
     assert len(list_resets(deployment)) == 1
+
+
+def test_flow_is_asked_for_while_a_late_copy_of_its_opening_is_unanswered(
+    deployment: Deployment,
+) -> None:
+    """Guards against a gate that takes the copy for the opening of another flow."""
+    caller = open_flow(deployment)
+    holder = caller.get_holder()
+    acked = caller.acked + len(b"answer request")
+    holder.restart()
+    holder.send_heartbeat()
+    holder.host.answers = False
+    caller.open(FRONT, copy=1)
+    holder.host.answers = True
+    caller.acked = acked
+    check_served(deployment, caller, holder)
