Judge a silent gate by what it said just before

Cause: a front gives a gate 0.1 s to answer if its host is gone, and 0.3 s if it was without flows, however long ago the gate has said so. A host may have come since.

Evidence: two tests, which failed before: reports of more than 8 s ago, a gate that is away for 1.2 s.

Change: what a gate said counts if it was heard within a second before it stopped to answer, as fronts in contact hear it twice a second. Otherwise it is awaited for three seconds, like any other.

Cost: none is expected where all fronts are in contact with all gates; elsewhere a front may wait for a gate that is gone, once.

--- a/src/balsamstream/flows/placement.py
+++ b/src/balsamstream/flows/placement.py
@@ -34,6 +34,8 @@
 EMPTY_TIMEOUT_S: Final = 0.3
 """The same for a gate that last reported no flows and a host that is not ready: only
 flows opened since then may be there."""
+RECENT_S: Final = 1.0
+"""Age up to which a report tells what its gate held when it fell silent: two hellos."""
 PROOF_TIMEOUT_S: Final = 0.1
 """Time that a gate at which no flow is expected has to answer a hello or a search."""
 PROOF_LIFETIME_S: Final = 3.0
@@ -155,15 +157,22 @@
         return not self.explain_absence(now)
 
     def explain_absence(self, now: float) -> str:
-        """Return why no flows may be at the host, empty if some may be."""
-        if self.state is HostState.GONE:
+        """Return why no flows may be at the host, empty if some may be.
+
+        What its gate reported counts only if that was just before the gate fell silent:
+        a host may have come since.
+        """
+        silent_since = now if self.asked_at is None else self.asked_at
+        is_recent = silent_since - self.last_heard_at <= RECENT_S
+        if is_recent and self.state is HostState.GONE:
             return "gone"
         if self.is_marked_left and self.state is HostState.UNKNOWN:
             return "left"
-        timeout_s = EMPTY_TIMEOUT_S if self.is_empty else LOST_TIMEOUT_S
+        is_empty = is_recent and self.is_empty
+        timeout_s = EMPTY_TIMEOUT_S if is_empty else LOST_TIMEOUT_S
         if self.asked_at is None or now - self.asked_at < timeout_s:
             return ""
-        return "empty" if self.is_empty else "silent"
+        return "empty" if is_empty else "silent"
 
     def record_asked(self, now: float) -> None:
         """Record that the gate was sent a hello, which it answers."""
--- a/tests/flows/test_sound_flows.py
+++ b/tests/flows/test_sound_flows.py
@@ -20,6 +20,8 @@
 }
 GATES = tuple(f"10.2.0.{number}" for number in range(11, 21))
 CONTACT_S = 5.0
+ROLL_S = 1.2
+"""Time for which a gate is away at a planned restart, in seconds."""
 """Time after which rule FLOW no longer excuses a restart of the host."""
 
 
@@ -348,3 +350,56 @@
     caller.send_request(newcomer.ip, b"more")
     deployment.pass_time(1.0)
     assert take_resets(deployment) == []
+
+
+def restart_gate_during_search(
+    deployment: Deployment, caller: Caller, gate: GateNode
+) -> list[bytes]:
+    """Send a request while a gate restarts; return what the caller gets later."""
+    gate.is_up = False
+    caller.send_request(OTHER_FRONT, b"more")
+    deployment.pass_time(ROLL_S)
+    gate.is_up = True
+    gate.restart()
+    deployment.pass_time(1.0)
+    caller.send_request(OTHER_FRONT, b"more")
+    deployment.pass_time(0.5)
+    return [packet.data for packet, _ in deployment.to_callers]
+
+
+def test_gate_whose_host_had_left_long_ago_may_restart(deployment: Deployment) -> None:
+    """Guards against a front that believes an old report rather than wait for a gate."""
+    gate = find_stranger(deployment)
+    fleet = deployment.fronts[OTHER_FRONT].front.fleet
+    host = fleet.find_host(gate.ip)
+    assert host is not None
+    fleet.keep_contact(host, deployment.now)
+    deployment.run()
+    gate.gate.handle_leave(f"i-{gate.ip}", deployment.now)
+    gate.sends_heartbeats = False
+    deployment.pass_time(10.0)
+    restart_host(gate)
+    gate.sends_heartbeats = True
+    gate.send_heartbeat()
+    deployment.pass_time(CONTACT_S + 1.0)
+    caller = open_flow(deployment, gate)
+    answers = restart_gate_during_search(deployment, caller, gate)
+    assert take_resets(deployment) == []
+    assert b"answer more" in answers
+
+
+def test_gate_without_flows_long_ago_may_restart(deployment: Deployment) -> None:
+    """Guards against a front that believes that a gate holds no flow still."""
+    gate = find_stranger(deployment)
+    fleet = deployment.fronts[OTHER_FRONT].front.fleet
+    host = fleet.find_host(gate.ip)
+    assert host is not None
+    gate.state = HostState.DRAINING
+    gate.send_heartbeat()
+    fleet.keep_contact(host, deployment.now)
+    deployment.pass_time(CONTACT_S + 3.0)
+    assert host.is_empty
+    caller = open_flow(deployment, gate)
+    answers = restart_gate_during_search(deployment, caller, gate)
+    assert take_resets(deployment) == []
+    assert b"answer more" in answers
