Search what a gate may deny beside a host that restarts

The decision code of the gate fits a model: one flow, three starts of the host and of the gate, each message of the host at any time and again, a check of the host's address and late copies of the opening packet at any time.

Not modelled: the lifetime of flows, probes, fronts.

--- a/model/guards.py
+++ b/model/guards.py
@@ -12,6 +12,9 @@
 AGENT: Final = "balsamstream.core.agent"
 VIEW: Final = "balsamstream.core.view"
 REFUSAL: Final = "balsamstream.core.refusal"
+GATE: Final = "balsamstream.flows.gate"
+OLDER: Final = "balsamstream.flows.older_flows"
+LATER_PACKETS: Final = "balsamstream.flows.later_packets"
 
 TWO_COPIES: Final = "claims: two copies"
 HOST_REFUSES: Final = "claims: a copy and a refusal"
@@ -24,6 +27,7 @@
 HOST_JOINS: Final = "flows: a host joins"
 LATE_PACKETS: Final = "flows: a host joins, both packets late"
 OWNER_DRAINS: Final = "flows: the owner drains"
+OLDER_FLOWS: Final = "older flows: a gate restarts beside a host"
 
 
 class GuardNotFoundError(LookupError):
@@ -265,6 +269,50 @@
         OWNER_DRAINS,
         test="tests/core/test_hops.py::test_packet_at_the_limit_is_refused_as_not_run",
     ),
+    Guard(
+        "a gate that has started is in doubt",
+        OLDER,
+        "return not self._probes.has_seen_all_flows or flow in self._unsettled",
+        "return flow in self._unsettled",
+        OLDER_FLOWS,
+    ),
+    Guard(
+        "a heartbeat proves nothing of flows",
+        GATE,
+        "        flows = len(self._flows)\n        if before:\n",
+        "        flows = len(self._flows)\n        if heartbeat.sequence <= 1:\n"
+        '            self._older_flows.record_all_seen("")\n        if before:\n',
+        OLDER_FLOWS,
+    ),
+    Guard(
+        "a last message proves nothing of flows",
+        GATE,
+        "        if self.state is not before:\n"
+        '            self._handle_state_change("host left", now)',
+        '        self._older_flows.record_all_seen("")',
+        OLDER_FLOWS,
+    ),
+    Guard(
+        "flows are in doubt after a start of the host",
+        GATE,
+        "        self._older_flows.add_unsettled(self._flows.list_keys(), now)\n",
+        "",
+        OLDER_FLOWS,
+    ),
+    Guard(
+        "flows stay in doubt over several starts",
+        OLDER,
+        "self._unsettled.update(dict.fromkeys(flows, now))",
+        "self._unsettled = dict.fromkeys(flows, now)",
+        OLDER_FLOWS,
+    ),
+    Guard(
+        "a late copy of an opening is no new flow",
+        LATER_PACKETS,
+        "if entry is None or self._may_be_older(entry, flow):",
+        "if entry is None:",
+        OLDER_FLOWS,
+    ),
 )
 
 __all__ = ["GUARDS", "Guard", "GuardNotFoundError"]
--- a/model/run.py
+++ b/model/run.py
@@ -11,6 +11,7 @@
 from .claims import SCENARIOS, ClaimModel
 from .configuration import ConfigurationModel
 from .flows import CHANGES, FlowModel
+from .older_flows import OlderFlowsModel
 from .search import Outcome, search
 
 MAX_SEARCH_S: Final = 140.0
@@ -23,13 +24,18 @@
     """Return the names of all models."""
     return [
         ConfigurationModel.name,
+        OlderFlowsModel.name,
         *(change.name for change in CHANGES),
         *(bounds.name for bounds in SCENARIOS),
     ]
 
 
-def build_model(name: str) -> ClaimModel | FlowModel | ConfigurationModel:
+def build_model(
+    name: str,
+) -> ClaimModel | FlowModel | ConfigurationModel | OlderFlowsModel:
     """Build a model by its name."""
+    if name == OlderFlowsModel.name:
+        return OlderFlowsModel()
     for bounds in SCENARIOS:
         if bounds.name == name:
             return ClaimModel(bounds)
--- a/tests/model/test_model.py
+++ b/tests/model/test_model.py
@@ -11,10 +11,11 @@
 from model.claims import SCENARIOS, ClaimModel
 from model.configuration import ConfigurationModel
 from model.guards import GUARDS
+from model.older_flows import OlderFlowsModel
 from model.run import check, list_models
 from model.search import search
 
-SMALL = [bounds.name for bounds in SCENARIOS[:3]]
+SMALL = [*(bounds.name for bounds in SCENARIOS[:3]), OlderFlowsModel.name]
 
 
 @pytest.mark.parametrize("name", SMALL)
