End a search when its port opens another flow

Cause: a search is known by addresses and ports. A denial stays true for the flow that was asked for; for a flow that opens at that host later it says nothing, and a search that went on with the new flow's packet did not even ask that host.

Evidence: a test with the new flow opened through the same front and through another one; both failed before.

Change: an opening packet ends the search, and a packet whose sequence number is more than 1 MiB away from the last one begins a new search.

--- a/src/balsamstream/flows/front.py
+++ b/src/balsamstream/flows/front.py
@@ -105,6 +105,7 @@
             return
         flow = packets.get_flow(packet)
         if packets.get_flags(packet) & packets.SYN:
+            self._searches.end(flow)
             self._openings.handle(packet, flow, now, now)
             return
         host = self._hints.get(flow)
--- a/src/balsamstream/flows/search.py
+++ b/src/balsamstream/flows/search.py
@@ -14,6 +14,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from balsamstream.platform import packets
+
 from .heartbeat import HostState
 
 if TYPE_CHECKING:
@@ -23,6 +25,8 @@
 
 SEARCH_TIMEOUT_S: Final = 4.0
 """Age at which a search ends without a result; a later packet starts a new one."""
+MAX_SEQ_STEP_BYTES: Final = 1 << 20
+"""Distance of the sequence numbers of two packets that belong to one flow."""
 MAX_RELAY_TARGETS: Final = 48
 """Gates that one gate relays a packet to: their addresses and the largest packet fit
 into 1,500 bytes."""
@@ -64,6 +68,16 @@
     asked: set[str] = field(default_factory=set)
     asked_at: float = 0.0
 
+    def concerns(self, packet: bytes) -> bool:
+        """Return whether a packet belongs to the flow that is searched for.
+
+        If not, the caller has used its port for another one since.
+        """
+        if not self.packet:
+            return True
+        step = packets.get_seq(packet) - packets.get_seq(self.packet)
+        return min(step & _SEQ_MASK, -step & _SEQ_MASK) <= MAX_SEQ_STEP_BYTES
+
     def is_expired(self, now: float) -> bool:
         """Return whether the search has reached its timeout."""
         return now - self.started_at > SEARCH_TIMEOUT_S
@@ -125,6 +139,8 @@
     return host.is_alive(now) and host.state is not HostState.GONE
 
 
+_SEQ_MASK: Final = 0xFFFF_FFFF
+
 __all__ = [
     "MAX_RELAY_TARGETS",
     "SEARCH_TIMEOUT_S",
--- a/src/balsamstream/flows/searches.py
+++ b/src/balsamstream/flows/searches.py
@@ -72,7 +72,7 @@
         return search is not None and not search.is_expired(now)
 
     def end(self, flow: bytes) -> None:
-        """End the search for a flow, as its holder is known."""
+        """End the search for a flow, as its holder is known or it opens anew."""
         self._searches.pop(flow, None)
 
     def search(self, packet: bytes, now: float, *, stray_at: str = "") -> None:
@@ -92,10 +92,10 @@
             self._events.count("packets.no_route")
             return
         flow = packets.get_flow(packet)
-        is_new = not self.is_searching(flow, now)
-        if is_new:
-            self._searches[flow] = start_search(flow, now)
-        search = self._searches[flow]
+        search = self._searches.get(flow)
+        is_new = search is None or search.is_expired(now) or not search.concerns(packet)
+        if search is None or is_new:
+            search = self._searches[flow] = start_search(flow, now)
         if stray_at:
             search.denied_by.add(stray_at)
         search.packet = packet
--- a/tests/flows/test_older_flows.py
+++ b/tests/flows/test_older_flows.py
@@ -228,3 +228,25 @@
     holder.host.answers = True
     caller.acked = acked
     check_served(deployment, caller, holder)
+
+
+@pytest.mark.parametrize("front", [FRONT, OTHER_FRONT])
+def test_denials_of_an_earlier_flow_of_a_port_do_not_count(
+    deployment: Deployment, front: str
+) -> None:
+    """Guards against a search that goes on when its port opens another flow."""
+    caller = open_flow(deployment)
+    ended = caller.get_holder()
+    ended.restart_host(70_000)
+    silent = next(each for each in deployment.gates.values() if each is not ended)
+    silent.is_up = False
+    caller.acknowledge(OTHER_FRONT)
+    deployment.pass_time(0.3)
+    caller.seq += 1_000_000_000
+    caller.open(front)
+    holder = caller.get_holder()
+    caller.send_request(OTHER_FRONT, b"new")
+    silent.is_up = True
+    deployment.pass_time(RESET_S)
+    assert list_resets(deployment) == []
+    check_served(deployment, caller, holder)
