Let the hosts of a test be heard just before they fall silent

They are heard half a second before now, and a case with an old report is added. The expected reasons are the same.

--- a/tests/flows/test_reset_logs.py
+++ b/tests/flows/test_reset_logs.py
@@ -61,7 +61,7 @@
 
 def build_host(number: int = 1, **fields: Any) -> Host:
     ip = f"10.1.0.{number}"
-    return Host(ip, (ip, 7_720), **fields)
+    return Host(ip, (ip, 7_720), **({"last_heard_at": NOW - 0.5} | fields))
 
 
 @pytest.mark.parametrize(
@@ -70,6 +70,7 @@
         ({"state": HostState.READY}, ""),
         ({"asked_at": NOW - 1.0}, ""),
         ({"state": HostState.GONE}, "gone"),
+        ({"state": HostState.GONE, "last_heard_at": NOW - 5.0}, ""),
         ({"is_marked_left": True}, "left"),
         ({"is_marked_left": True, "state": HostState.READY}, ""),
         ({"is_empty": True}, ""),
