Rely on no entry for whether a host has left

Cause: a front gave a gate that it had never heard 0.1 s to answer if the gate's entry said that its host had left. The entry may be out of date: the gate was killed before it corrected it, the store was silent, or the list is seconds old.

Evidence: a test, which failed before.

Change: entries no longer say it, fronts do not read it, and a gate that was never heard is awaited for three seconds. The field of older entries is ignored. The gate's write at each change goes with it; an entry of another service is still corrected until the store takes it.

--- a/src/balsamstream/flows/absence.py
+++ b/src/balsamstream/flows/absence.py
@@ -10,7 +10,7 @@
 
     from .placement import Host
 
-REASONS: Final = ("gone", "left", "empty", "silent")
+REASONS: Final = ("gone", "empty", "silent")
 MAX_LOGGED: Final = 8
 
 
--- a/src/balsamstream/flows/directory.py
+++ b/src/balsamstream/flows/directory.py
@@ -4,13 +4,12 @@
 
 from typing import TYPE_CHECKING, Final
 
-from .heartbeat import HostState
 from .placement import Host
 from .roster import NAME_LIFETIME_S, FrontRoster, GateRoster, Names
 from .subset import is_address
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Iterator
+    from collections.abc import Iterable, Iterator
 
     from .events import Events
     from .messages import NodeName
@@ -101,12 +100,7 @@
         self._unknown[ip] = now
         return is_new
 
-    def add_listed(
-        self,
-        names: Iterable[NodeName],
-        now: float,
-        without_host: Collection[str] = (),
-    ) -> list[Host]:
+    def add_listed(self, names: Iterable[NodeName], now: float) -> list[Host]:
         """Add the nodes that the store lists; return the hosts that are new.
 
         Parameters
@@ -115,9 +109,6 @@
             Nodes that have an entry.
         now : float
             Time, in seconds.
-        without_host : collection of str
-            Gates whose hosts have left by their entries. They are not awaited unless
-            they report a host.
         """
         added = []
         for name in names:
@@ -125,9 +116,6 @@
                 continue
             added += self._add(name, now)
             self._get_roster(name).sightings[name.ip].listed_at = now
-            host = self.gates.hosts.get(name.ip)
-            if host is not None and host.state is HostState.UNKNOWN:
-                host.is_marked_left = name.ip in without_host
         self._record_completeness(now)
         return added
 
--- a/src/balsamstream/flows/fleet.py
+++ b/src/balsamstream/flows/fleet.py
@@ -33,7 +33,7 @@
 from .rate_limit import RateLimit
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable, Iterator
+    from collections.abc import Iterable, Iterator
 
     from .desired_state import Route
     from .events import Events
@@ -214,14 +214,9 @@
         """Return whether every gate that runs should be known by now."""
         return self._directory.is_complete(now)
 
-    def add_listed_nodes(
-        self,
-        names: Iterable[NodeName],
-        now: float,
-        without_host: Collection[str] = (),
-    ) -> None:
+    def add_listed_nodes(self, names: Iterable[NodeName], now: float) -> None:
         """Add all nodes that the store lists; see `Directory.add_listed`."""
-        self._directory.add_listed(names, now, without_host)
+        self._directory.add_listed(names, now)
         self._send_hellos(now)
 
     def add_addresses(self, ips: list[str], now: float) -> None:
@@ -279,9 +274,6 @@
         host.is_empty = host.is_empty and state != HostState.READY
 
     def _set_state(self, host: Host, state: HostState, now: float) -> None:
-        if state in _HOST_STATES:
-            # A host has come since its gate's entry was marked, and may hold flows.
-            host.is_marked_left = False
         self._events.emit(
             "host_state",
             host=host.ip,
--- a/src/balsamstream/flows/placement.py
+++ b/src/balsamstream/flows/placement.py
@@ -80,9 +80,6 @@
         Times at which flows were placed that the last report cannot include.
     last_heard_at : float
         Time of the gate's last report or load message, in seconds.
-    is_marked_left : bool
-        Whether the gate's entry says that its host has left. It matters while the gate
-        has no heartbeat of a host: what runs there then has no flows to lose.
     is_empty : bool
         Whether the last report said that the host is not ready and holds no flows.
     protocol : int
@@ -130,7 +127,6 @@
     unreported: deque[float] = field(default_factory=deque)
     last_heard_at: float = -1e9
     avoid_until: float = 0.0
-    is_marked_left: bool = False
     is_empty: bool = False
     protocol: int = 1
     wait_s: float = 0.0
@@ -166,8 +162,6 @@
         is_recent = silent_since - self.last_heard_at <= RECENT_S
         if is_recent and self.state is HostState.GONE:
             return "gone"
-        if self.is_marked_left and self.state is HostState.UNKNOWN:
-            return "left"
         is_empty = is_recent and self.is_empty
         timeout_s = EMPTY_TIMEOUT_S if is_empty else LOST_TIMEOUT_S
         if self.asked_at is None or now - self.asked_at < timeout_s:
--- a/src/balsamstream/node/discovery.py
+++ b/src/balsamstream/node/discovery.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from balsamstream.platform.documents import (
@@ -69,11 +68,6 @@
         self._written_at = 0.0
         self._era = 0
 
-    @property
-    def is_without_host(self) -> bool:
-        """Whether this node's entry is to say that its host has left."""
-        return self._node.is_without_host
-
     async def join(self) -> list[NodeEntry]:
         """Write this node's entry, then return the others; retry until both succeed."""
         await self._write_entry()
@@ -147,10 +141,17 @@
                 self._events.emit("store_lost", kind="nodes", reason=result.reason)
             await wait_before_retry(failures)
 
+    async def correct_entry(self) -> None:
+        """Replace an entry that an earlier node has left; retry until it is written."""
+        failures = 0
+        while not await self._correct_entry():
+            failures += 1
+            await wait_before_retry(failures)
+
     async def _correct_entry(self) -> bool:
         """Replace an entry that says something else of this node; False if that failed.
 
-        An earlier node at this address may have left it, or the host has left since.
+        An earlier node at this address may have left it.
         """
         known = self._own_entry
         if known is None or self._is_own(known):
@@ -163,21 +164,9 @@
         self._events.emit(
             "entry_corrected",
             result=type(result).__name__,
-            is_without_host=self._node.is_without_host,
         )
         return isinstance(result, Written)
 
-    async def update_host(self, *, is_without_host: bool) -> None:
-        """Mark this node's entry while its host has left; retry until it is written.
-
-        Fronts that start later await no gate whose entry is marked.
-        """
-        self._node = replace(self._node, is_without_host=is_without_host)
-        failures = 0
-        while not await self._correct_entry():
-            failures += 1
-            await wait_before_retry(failures)
-
     async def _read_entries(self) -> list[NodeEntry]:
         """Read all entries as they are after this node's own was written."""
         failures = 0
--- a/src/balsamstream/node/front.py
+++ b/src/balsamstream/node/front.py
@@ -142,8 +142,7 @@
             for node in nodes
             if node.data_centre
         ]
-        without_host = {node.ip for node in nodes if node.is_without_host}
-        self._front.fleet.add_listed_nodes(names, now, without_host)
+        self._front.fleet.add_listed_nodes(names, now)
         # Entries of an earlier release have only addresses.
         earlier = [node.ip for node in nodes if not node.data_centre]
         self._front.fleet.add_addresses(earlier, now)
--- a/src/balsamstream/node/gate.py
+++ b/src/balsamstream/node/gate.py
@@ -47,7 +47,6 @@
             now=asyncio.get_running_loop().time(),
         )
         self._host_found = asyncio.Event()
-        self._host_changed = asyncio.Event()
         self._host_address = split_address(host.address)
         self._check_interval_s = host.heartbeat_ms / 1_000
         self._callers_port = split_address(settings.callers)[1]
@@ -65,12 +64,10 @@
         await super().start()
         self._host_socket.start()
         self.start_task("host_check", self._check_host)
-        self.start_task("update_entry", self._update_entry)
 
     async def close(self) -> None:
         """Stop the tasks and close all sockets."""
-        for name in ("host_check", "update_entry"):
-            await self.kernel.end_task(name)
+        await self.kernel.end_task("host_check")
         self._host_socket.close()
         await super().close()
 
@@ -80,7 +77,6 @@
         self._gate.leave(asyncio.get_running_loop().time(), has_host=has_host)
         await asyncio.sleep(STOP_DELAY_S)
         if self._gate.is_without_host:
-            await self.kernel.end_task("update_entry")
             async with asyncio.timeout(DELETE_TIMEOUT_S):
                 await self.discovery.leave()
 
@@ -95,7 +91,6 @@
             checked_at = loop.time()
             if is_due and not await self._may_have_host():
                 self._gate.record_refused_check(checked_at, loop.time())
-                self._detect_host_change()
             await asyncio.sleep(self._check_interval_s)
             is_due = self._gate.needs_host_check(loop.time())
 
@@ -143,8 +138,6 @@
 
     def handle_listed_nodes(self, nodes: list[NodeEntry], now: float) -> None:
         """Report to the fronts that the store lists."""
-        # The correction of an earlier entry may have failed.
-        self._host_changed.set()
         fronts = [(node.ip, node.data_centre) for node in nodes if node.role == "front"]
         self._gate.reporter.add_fronts(fronts, now)
 
@@ -184,7 +177,6 @@
                 return self._handle_heartbeat(host, request.body, now)
             case "DELETE":
                 self._gate.handle_leave(host, now)
-                self._detect_host_change()
                 return Response(200)
         return Response(404)
 
@@ -197,20 +189,7 @@
         self._gate.handle_heartbeat(heartbeat, now)
         if self._gate.state is not HostState.UNKNOWN:
             self._host_found.set()
-        self._detect_host_change()
         return Response(200)
 
-    def _detect_host_change(self) -> None:
-        if self._gate.is_without_host != self.discovery.is_without_host:
-            self._host_changed.set()
-
-    async def _update_entry(self) -> None:
-        """Let this node's entry say whether the host has left, at each change."""
-        while True:
-            await self._host_changed.wait()
-            self._host_changed.clear()
-            is_without_host = self._gate.is_without_host
-            await self.discovery.update_host(is_without_host=is_without_host)
-
 
 __all__ = ["GateService"]
--- a/src/balsamstream/node/service.py
+++ b/src/balsamstream/node/service.py
@@ -209,6 +209,7 @@
         await self.wait_until_useful()
         nodes = await self.discovery.join()
         self.handle_listed_nodes(nodes, asyncio.get_running_loop().time())
+        await self.discovery.correct_entry()
 
     def _run_periodic_work(self, now: float) -> None:
         self.detect_pause()
--- a/src/balsamstream/platform/documents.py
+++ b/src/balsamstream/platform/documents.py
@@ -38,15 +38,12 @@
         Data centre of the node; empty in an entry of an earlier release.
     service : str
         Service of a gate's host; empty for a front.
-    is_without_host : bool
-        Whether the host beside a gate has left for good.
     """
 
     ip: str
     role: str
     data_centre: str = ""
     service: str = ""
-    is_without_host: bool = False
 
 
 class _ShareDocument(msgspec.Struct):
@@ -103,7 +100,6 @@
     role: str
     data_centre: str = ""
     service: str = ""
-    is_without_host: bool = False
 
 
 class _HeldDocument(msgspec.Struct):
@@ -188,15 +184,12 @@
         document.role,
         document.data_centre,
         document.service,
-        document.is_without_host,
     )
 
 
 def write_node(node: NodeEntry) -> bytes:
     """Encode the entry of a node."""
-    document = _NodeDocument(
-        node.ip, node.role, node.data_centre, node.service, node.is_without_host
-    )
+    document = _NodeDocument(node.ip, node.role, node.data_centre, node.service)
     return msgspec.json.encode(document)
 
 
