Delete the entry of a host that has left once nothing listens

A gate that stops deletes its entry if its host has left. The gate now checks once more before it ends. Its entry also stays, rightly, if the last message was a late one of an earlier host.

test_entries_are_written_despite_lost_responses_and_deleted_with_hosts: its host now ends after its last message, as the users' pages say that hosts do.

--- a/src/balsamstream/node/gate.py
+++ b/src/balsamstream/node/gate.py
@@ -76,10 +76,16 @@
         has_host = await self._may_have_host()
         self._gate.leave(asyncio.get_running_loop().time(), has_host=has_host)
         await asyncio.sleep(STOP_DELAY_S)
-        if self._gate.is_without_host:
+        if await self._has_host_ended():
             async with asyncio.timeout(DELETE_TIMEOUT_S):
                 await self.discovery.leave()
 
+    async def _has_host_ended(self) -> bool:
+        """Return whether the host has left for good, with all of its flows."""
+        if self._gate.is_without_host:
+            return True
+        return self._gate.state is HostState.GONE and not await self._may_have_host()
+
     async def _check_host(self) -> None:
         """Find out whether any host runs beside this gate, whenever that matters.
 
--- a/tests/node/test_site.py
+++ b/tests/node/test_site.py
@@ -382,6 +382,7 @@
             site.store.lost_share = 0.0
             assert len(site.store.list_names("nodes")) == 2
             assert await gate.host.deregister()
+            await gate.host.close()
             site.processes.terminate(gate.name)
             # The store runs in this loop, so nothing may block it.
             wait = site.processes.wait_stopped
