--- a/tests/flows/test_older_flows.py
+++ b/tests/flows/test_older_flows.py
@@ -250,3 +250,17 @@
     deployment.pass_time(RESET_S)
     assert list_resets(deployment) == []
     check_served(deployment, caller, holder)
+
+
+@pytest.mark.parametrize(("age_s", "is_asked"), [(50.0, True), (62.0, False)])
+def test_host_is_asked_for_as_long_as_flows_live(
+    deployment: Deployment, age_s: float, is_asked: bool
+) -> None:
+    """Guards against a gate that denies too early, or asks for ever."""
+    gate = deployment.gates[GATES[0]]
+    gate.restart()
+    deployment.pass_time(age_s)
+    before = len(gate.host.received)
+    Caller(deployment).acknowledge(FRONT)
+    deployment.pass_time(0.1)
+    assert (len(gate.host.received) > before) is is_asked
