--- a/tests/flows/test_older_flows.py
+++ b/tests/flows/test_older_flows.py
@@ -38,6 +38,26 @@
     return caller
 
 
+def open_flow_at(deployment: Deployment, gate: GateNode) -> Caller:
+    """Open flows until one is at a host, with a request on each."""
+    for port in range(40_001, 40_100):
+        caller = Caller(deployment, port)
+        caller.open(FRONT)
+        caller.send_request(FRONT)
+        if caller.get_holder() is gate:
+            return caller
+    raise AssertionError(f"no flow was placed at {gate.ip}")
+
+
+def restart_gate(deployment: Deployment) -> tuple[Caller, GateNode]:
+    """Open a flow and restart its gate, which has a heartbeat of the host since."""
+    caller = open_flow(deployment)
+    holder = caller.get_holder()
+    holder.restart()
+    holder.send_heartbeat()
+    return caller, holder
+
+
 def list_resets(deployment: Deployment) -> list[Packet]:
     """List the resets that callers got."""
     return [packet for packet, _ in deployment.to_callers if packet.flags & RST]
@@ -86,17 +106,6 @@
     check_served(deployment, caller, holder)
 
 
-def open_flow_at(deployment: Deployment, gate: GateNode) -> Caller:
-    """Open flows until one is at a host, with a request on each."""
-    for port in range(40_001, 40_100):
-        caller = Caller(deployment, port)
-        caller.open(FRONT)
-        caller.send_request(FRONT)
-        if caller.get_holder() is gate:
-            return caller
-    raise AssertionError(f"no flow was placed at {gate.ip}")
-
-
 def test_flow_opened_before_a_late_heartbeat_of_the_host_before_is_asked_for(
     deployment: Deployment,
 ) -> None:
@@ -143,10 +152,7 @@
     deployment: Deployment,
 ) -> None:
     """Guards against callers who wait for a host that has crashed."""
-    caller = open_flow(deployment)
-    holder = caller.get_holder()
-    holder.restart()
-    holder.send_heartbeat()
+    caller, holder = restart_gate(deployment)
     holder.has_host = holder.sends_heartbeats = False
     deployment.pass_time(HEARTBEATS_TO_CHECK * HEARTBEAT_S + 0.1)
     caller.send_request(OTHER_FRONT, b"more")
@@ -172,10 +178,7 @@
     deployment: Deployment,
 ) -> None:
     """Guards against a gate that denies flows as the host before has left."""
-    caller = open_flow(deployment)
-    holder = caller.get_holder()
-    holder.restart()
-    holder.send_heartbeat()
+    caller, holder = restart_gate(deployment)
     holder.gate.handle_leave(f"i-{holder.ip}", deployment.now)
     deployment.pass_time(1.0)
     check_served(deployment, caller, holder)
@@ -185,10 +188,7 @@
     deployment: Deployment,
 ) -> None:
     """Guards against a front that takes the last message of a host for its end."""
-    caller = open_flow(deployment)
-    holder = caller.get_holder()
-    holder.restart()
-    holder.send_heartbeat()
+    caller, holder = restart_gate(deployment)
     holder.gate.handle_leave(f"i-{holder.ip}", deployment.now)
     holder.host.answers = False
     deployment.pass_time(0.5)
@@ -203,10 +203,7 @@
     deployment: Deployment,
 ) -> None:
     """Guards against callers who wait for a host that has left."""
-    caller = open_flow(deployment)
-    holder = caller.get_holder()
-    holder.restart()
-    holder.send_heartbeat()
+    caller, holder = restart_gate(deployment)
     holder.gate.handle_leave(f"i-{holder.ip}", deployment.now)
     holder.has_host = holder.sends_heartbeats = False
     caller.send_request(OTHER_FRONT, b"one")
@@ -218,11 +215,8 @@
     deployment: Deployment,
 ) -> None:
     """Guards against a gate that takes the copy for the opening of another flow."""
-    caller = open_flow(deployment)
-    holder = caller.get_holder()
+    caller, holder = restart_gate(deployment)
     acked = caller.acked + len(b"answer request")
-    holder.restart()
-    holder.send_heartbeat()
     holder.host.answers = False
     caller.open(FRONT, copy=1)
     holder.host.answers = True
--- a/tests/flows/test_sound_flows.py
+++ b/tests/flows/test_sound_flows.py
@@ -89,6 +89,24 @@
     raise AssertionError("the front is in contact with all gates")
 
 
+def replace_host_of_stranger(deployment: Deployment) -> GateNode:
+    """Let a host leave and another come, of which the front elsewhere hears nothing."""
+    gate = find_stranger(deployment)
+    fleet = deployment.fronts[OTHER_FRONT].front.fleet
+    host = fleet.find_host(gate.ip)
+    assert host is not None
+    fleet.keep_contact(host, deployment.now)
+    deployment.run()
+    gate.gate.handle_leave(f"i-{gate.ip}", deployment.now)
+    gate.sends_heartbeats = False
+    deployment.pass_time(10.0)
+    restart_host(gate)
+    gate.sends_heartbeats = True
+    gate.send_heartbeat()
+    deployment.pass_time(CONTACT_S + 1.0)
+    return gate
+
+
 def open_before_first_heartbeat(deployment: Deployment, gate: GateNode) -> Caller:
     """Open a flow at a host that has restarted; its first heartbeat comes after it."""
     keep_only_ready(deployment, gate)
@@ -179,19 +197,7 @@
 
 def test_gate_whose_host_has_come_back_is_awaited(deployment: Deployment) -> None:
     """A front that was told that a host left does not rely on it for ever."""
-    gate = find_stranger(deployment)
-    fleet = deployment.fronts[OTHER_FRONT].front.fleet
-    host = fleet.find_host(gate.ip)
-    assert host is not None
-    fleet.keep_contact(host, deployment.now)
-    deployment.run()
-    gate.gate.handle_leave(f"i-{gate.ip}", deployment.now)
-    gate.sends_heartbeats = False
-    deployment.pass_time(10.0)
-    restart_host(gate)
-    gate.sends_heartbeats = True
-    gate.send_heartbeat()
-    deployment.pass_time(CONTACT_S + 1.0)
+    gate = replace_host_of_stranger(deployment)
     caller = open_flow(deployment, gate)
     search_with_late_answer(deployment, caller, gate)
     assert take_resets(deployment) == []
@@ -386,19 +392,7 @@
 
 def test_gate_whose_host_had_left_long_ago_may_restart(deployment: Deployment) -> None:
     """Guards against a front that believes an old report rather than await a gate."""
-    gate = find_stranger(deployment)
-    fleet = deployment.fronts[OTHER_FRONT].front.fleet
-    host = fleet.find_host(gate.ip)
-    assert host is not None
-    fleet.keep_contact(host, deployment.now)
-    deployment.run()
-    gate.gate.handle_leave(f"i-{gate.ip}", deployment.now)
-    gate.sends_heartbeats = False
-    deployment.pass_time(10.0)
-    restart_host(gate)
-    gate.sends_heartbeats = True
-    gate.send_heartbeat()
-    deployment.pass_time(CONTACT_S + 1.0)
+    gate = replace_host_of_stranger(deployment)
     caller = open_flow(deployment, gate)
     answers = restart_gate_during_search(deployment, caller, gate)
     assert take_resets(deployment) == []
