--- a/tests/flows/test_sound_flows.py
+++ b/tests/flows/test_sound_flows.py
@@ -20,9 +20,9 @@
 }
 GATES = tuple(f"10.2.0.{number}" for number in range(11, 21))
 CONTACT_S = 5.0
+"""Time after which rule FLOW no longer excuses a restart of the host."""
 ROLL_S = 1.2
 """Time for which a gate is away at a planned restart, in seconds."""
-"""Time after which rule FLOW no longer excuses a restart of the host."""
 
 
 @pytest.fixture
