--- a/model/configuration.py
+++ b/model/configuration.py
@@ -149,8 +149,7 @@
 
         before = state.catalogues[position]
         key = freeze(changes)
-        known = self._cache.find(before, key)
-        after, _ = known or self._cache.step(before, key, apply)
+        after, _ = self._cache.run(before, key, apply)
         if after == before:
             return
         reached = self._replace(state, position, after)
--- a/model/older_flows.py
+++ b/model/older_flows.py
@@ -36,7 +36,7 @@
 HEARTBEATS: Final = 2
 LEAVE: Final = 0
 """Stands in place of the sequence number for the last message of a host."""
-IS_DOWN: Final = -1
+NO_GATE: Final = -1
 
 
 @dataclass
@@ -132,7 +132,7 @@
     starts, gates : int
         Starts of the host and of the gate so far.
     gate : int
-        Number of the gate's state, `IS_DOWN` for none.
+        Number of the gate's state, `NO_GATE` for none.
     holder : int
         Incarnation at which the flow has opened, 0 for none.
     sent : frozenset of tuple of int
@@ -172,7 +172,7 @@
 
     def find_violation(self, state: State) -> str | None:
         """Return the property that a state violates, or None if it violates none."""
-        if state.gate == IS_DOWN or not state.holder or state.holder != state.host:
+        if state.gate == NO_GATE or not state.holder or state.holder != state.host:
             return None
         message = _build_later_packet(state.holder)
 
@@ -182,15 +182,14 @@
             return process.transport.denials
 
         key = ("later packet", state.holder)
-        known = self._cache.find(state.gate, key)
-        _, denials = known or self._cache.step(state.gate, key, forward)
+        _, denials = self._cache.run(state.gate, key, forward)
         return "the gate denies a flow that its host holds" if denials else None
 
     def expand(self, state: State) -> Iterator[tuple[str, State]]:
         """Return each possible step and the state it leads to."""
         yield from self._change_host(state)
         yield from self._change_gate(state)
-        if state.gate == IS_DOWN:
+        if state.gate == NO_GATE:
             return
         for incarnation, sequence in sorted(state.sent):
             yield from self._deliver(state, incarnation, sequence)
@@ -221,8 +220,8 @@
                 yield label, state._replace(sent=state.sent | {message})
 
     def _change_gate(self, state: State) -> Iterator[tuple[str, State]]:
-        if state.gate != IS_DOWN:
-            yield "the gate is killed", state._replace(gate=IS_DOWN)
+        if state.gate != NO_GATE:
+            yield "the gate is killed", state._replace(gate=NO_GATE)
         elif state.gates < MAX_GATES:
             fresh = self._cache.number(GateProcess())
             reached = state._replace(gate=fresh, gates=state.gates + 1)
@@ -256,8 +255,7 @@
             return process.transport.to_host > 1
 
         key = ("open", state.host)
-        known = self._cache.find(state.gate, key)
-        after, is_open = known or self._cache.step(state.gate, key, open_flow)
+        after, is_open = self._cache.run(state.gate, key, open_flow)
         if is_open:
             reached = state._replace(gate=after, holder=state.host)
             yield f"the flow opens at host {state.host}", reached
@@ -278,8 +276,7 @@
         self, state: State, label: str, act: Callable[[GateProcess], None]
     ) -> Iterator[tuple[str, State]]:
         """Let the gate take a step that changes nothing else."""
-        known = self._cache.find(state.gate, label)
-        after, _ = known or self._cache.step(state.gate, label, act)
+        after, _ = self._cache.run(state.gate, label, act)
         if after != state.gate:
             yield label, state._replace(gate=after)
 
--- a/model/state.py
+++ b/model/state.py
@@ -99,6 +99,12 @@
         """Return the process in a state; it must not be modified."""
         return self._live[number]
 
+    def run(
+        self, number: int, key: Frozen, act: Callable[[Process], Any]
+    ) -> tuple[int, Any]:
+        """Return the next state and the effect of a step, cached or run now."""
+        return self.find(number, key) or self.step(number, key, act)
+
     def find(self, number: int, key: Frozen) -> tuple[int, Any] | None:
         """Return the cached next state and effect of a step, or None if not cached."""
         return self._steps.get((number, key))
--- a/tests/flows/deployment.py
+++ b/tests/flows/deployment.py
@@ -6,7 +6,7 @@
 import socket
 from collections import defaultdict, deque
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from balsamstream.flows.desired_state import (
     DesiredState,
@@ -21,8 +21,12 @@
 from balsamstream.flows.load_policy import DEFAULT_POLICY, LoadPolicy
 from balsamstream.flows.messages import Kind, NodeName
 from balsamstream.platform import packets
-from standins.flow_host import ACK, FIN, SYN, FlowHost, Packet, decode
+from standins.flow_host import ACK, FIN, RST, SYN, FlowHost, Packet, decode
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+FIRST_FRONT = "10.1.0.1"
 NODE_PORT = 7720
 ROUTE = ("198.18.0.1", 443)
 SERVICE = "comptoir"
@@ -149,10 +153,19 @@
 
     def check_host(self) -> None:
         """Connect to the host if its gate needs to know whether there is one."""
-        now = self.deployment.now
-        if not self.has_host and self.gate.needs_host_check(now):
+        if self.gate.needs_host_check(self.deployment.now):
+            self.connect_to_host()
+
+    def connect_to_host(self) -> None:
+        """Let the gate learn at once if nothing listens at its host's address."""
+        if not self.is_host_running():
+            now = self.deployment.now
             self.gate.record_refused_check(now, now)
 
+    def is_host_running(self) -> bool:
+        """Return whether there is a host."""
+        return self.has_host
+
     def send_to_host(self, packet: bytes) -> None:
         """Deliver a packet to the host, if there is one."""
         if not self.has_host:
@@ -440,6 +453,32 @@
         return holders[0]
 
 
+def build_deployment(gates: Iterable[str], fronts: Iterable[str]) -> Deployment:
+    """Build a deployment in one data centre and let its nodes find each other."""
+    deployment = Deployment()
+    for ip in gates:
+        deployment.add_gate(ip)
+    for ip in fronts:
+        deployment.add_front(ip)
+    deployment.pass_time(1.0)
+    return deployment
+
+
+def open_flow(
+    deployment: Deployment, port: int = 40_001, front: str = FIRST_FRONT
+) -> Caller:
+    """Open a flow through a front and send a request on it."""
+    caller = Caller(deployment, port)
+    caller.open(front)
+    caller.send_request(front)
+    return caller
+
+
+def list_resets(deployment: Deployment) -> list[Packet]:
+    """List the resets that callers got."""
+    return [packet for packet, _ in deployment.to_callers if packet.flags & RST]
+
+
 def build_desired(
     version: int,
     routes: dict[tuple[str, int], str],
@@ -476,6 +515,9 @@
     "FrontNode",
     "GateNode",
     "Deployment",
+    "build_deployment",
     "build_desired",
+    "list_resets",
+    "open_flow",
     "to_number",
 ]
--- a/tests/flows/flow_world.py
+++ b/tests/flows/flow_world.py
@@ -94,6 +94,10 @@
         super().start()
         self.is_up = True
 
+    def is_host_running(self) -> bool:
+        """Return whether there is a host."""
+        return self.server is not None
+
     def send_to_host(self, packet: bytes) -> None:
         """Deliver a packet to the host after a short time."""
         self.deployment.after(HOST_S, self._reach_host, packet)
@@ -233,7 +237,7 @@
             self, ip, data_centre, SERVICE, 1, FlowHost(0), events=events, **more
         )
         self.gates[ip] = gate
-        gate.gate.record_refused_check(self.now, self.now)
+        gate.connect_to_host()
         self.start_host(gate, self.random.uniform(0.0, 0.1))
         self.after_store(self._list_gate, gate, gate.gate)
         self._repeat(TICK_S, self._tick_gate, gate)
@@ -256,7 +260,6 @@
         if not gate.is_up:
             return
         gate.gate.tick(self.now)
-        gate.has_host = gate.server is not None
         gate.check_host()
         if gate.is_unlisted:
             self._contact_seeds(gate)
@@ -289,8 +292,7 @@
         """Start the process of a gate again."""
         gate.gate_incarnation += 1
         gate.start()
-        if gate.server is None:
-            gate.gate.record_refused_check(self.now, self.now)
+        gate.connect_to_host()
         self.after_store(self._list_gate, gate, gate.gate)
 
     def start_host(self, gate: WorldGate, first_beat_s: float) -> None:
--- a/tests/flows/test_held_flows.py
+++ b/tests/flows/test_held_flows.py
@@ -7,8 +7,13 @@
 import pytest
 
 from balsamstream.flows.held_flows import MIN_AGE_S
-from standins.flow_host import RST
-from tests.flows.deployment import Caller, Deployment, GateNode
+from tests.flows.deployment import (
+    Caller,
+    Deployment,
+    GateNode,
+    build_deployment,
+    list_resets,
+)
 
 if TYPE_CHECKING:
     from balsamstream.flows.held_flows import SavedFlow
@@ -20,12 +25,7 @@
 
 @pytest.fixture
 def deployment() -> Deployment:
-    deployment = Deployment()
-    for ip in HOSTS:
-        deployment.add_gate(ip)
-    deployment.add_front(FRONT)
-    deployment.pass_time(1.0)
-    return deployment
+    return build_deployment(HOSTS, (FRONT,))
 
 
 def open_flows(deployment: Deployment) -> list[Caller]:
@@ -46,8 +46,7 @@
 
 def take_resets(deployment: Deployment) -> dict[int, int]:
     """Return the sequence numbers of all resets so far, by the caller's port."""
-    resets = [packet for packet, _ in deployment.to_callers if packet.flags & RST]
-    return {packet.target[1]: packet.seq for packet in resets}
+    return {packet.target[1]: packet.seq for packet in list_resets(deployment)}
 
 
 def lose_power(deployment: Deployment) -> list[SavedFlow]:
--- a/tests/flows/test_older_flows.py
+++ b/tests/flows/test_older_flows.py
@@ -8,8 +8,15 @@
 import pytest
 
 from balsamstream.flows.host_record import HEARTBEATS_TO_CHECK
-from standins.flow_host import RST, Packet
-from tests.flows.deployment import HEARTBEAT_S, Caller, Deployment, GateNode
+from tests.flows.deployment import (
+    HEARTBEAT_S,
+    Caller,
+    Deployment,
+    GateNode,
+    build_deployment,
+    list_resets,
+    open_flow,
+)
 
 FRONT = "10.1.0.1"
 OTHER_FRONT = "10.1.0.2"
@@ -21,29 +28,13 @@
 @pytest.fixture
 def deployment() -> Deployment:
     """Three gates and two fronts that know each other."""
-    built = Deployment()
-    for ip in GATES:
-        built.add_gate(ip)
-    for ip in (FRONT, OTHER_FRONT):
-        built.add_front(ip)
-    built.pass_time(1.0)
-    return built
-
-
-def open_flow(deployment: Deployment) -> Caller:
-    """Open a flow through the first front, with a request on it."""
-    caller = Caller(deployment)
-    caller.open(FRONT)
-    caller.send_request(FRONT)
-    return caller
+    return build_deployment(GATES, (FRONT, OTHER_FRONT))
 
 
 def open_flow_at(deployment: Deployment, gate: GateNode) -> Caller:
     """Open flows until one is at a host, with a request on each."""
     for port in range(40_001, 40_100):
-        caller = Caller(deployment, port)
-        caller.open(FRONT)
-        caller.send_request(FRONT)
+        caller = open_flow(deployment, port)
         if caller.get_holder() is gate:
             return caller
     raise AssertionError(f"no flow was placed at {gate.ip}")
@@ -58,11 +49,6 @@
     return caller, holder
 
 
-def list_resets(deployment: Deployment) -> list[Packet]:
-    """List the resets that callers got."""
-    return [packet for packet, _ in deployment.to_callers if packet.flags & RST]
-
-
 def check_served(deployment: Deployment, caller: Caller, holder: GateNode) -> None:
     """Check that requests on the flow are answered through either front."""
     for data in (b"one", b"another"):
--- a/tests/flows/test_open_flows.py
+++ b/tests/flows/test_open_flows.py
@@ -2,10 +2,21 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 
-from standins.flow_host import RST, Packet
-from tests.flows.deployment import Caller, Deployment, FrontNode, GateNode
+from tests.flows.deployment import (
+    Caller,
+    Deployment,
+    FrontNode,
+    GateNode,
+    build_deployment,
+    list_resets,
+)
+
+if TYPE_CHECKING:
+    from standins.flow_host import Packet
 
 FRONT = "10.1.0.1"
 OTHER_FRONT = "10.1.0.2"
@@ -14,15 +25,9 @@
 KNOWN_RED = "KNOWN-RED.txt: issue 29"
 
 
-def build_deployment(gates: int, fronts: tuple[str, ...] = (FRONT,)) -> Deployment:
-    """Build a deployment in one data centre and let its nodes find each other."""
-    deployment = Deployment()
-    for number in range(gates):
-        deployment.add_gate(f"10.1.0.{number + 11}")
-    for front in fronts:
-        deployment.add_front(front)
-    deployment.pass_time(1.0)
-    return deployment
+def list_gates(amount: int) -> list[str]:
+    """List the addresses of some gates."""
+    return [f"10.1.0.{number + 11}" for number in range(amount)]
 
 
 def exchange(caller: Caller, front: str, data: bytes = b"request") -> list[Packet]:
@@ -62,16 +67,15 @@
     node.deployment.run()
 
 
-def list_resets(deployment: Deployment, caller: Caller) -> list[Packet]:
+def list_resets_of(deployment: Deployment, caller: Caller) -> list[Packet]:
     """List the resets that a caller got."""
-    port = caller.port
-    received = [packet for packet, _ in deployment.to_callers]
-    return [each for each in received if each.target[1] == port and each.flags & RST]
+    resets = list_resets(deployment)
+    return [each for each in resets if each.target[1] == caller.port]
 
 
 def test_flow_opened_before_the_first_heartbeat_of_its_host_stays_open() -> None:
     """Guards against a gate that discards the flows of a host that has just started."""
-    deployment = build_deployment(3)
+    deployment = build_deployment(list_gates(3), (FRONT,))
     gate = deployment.gates["10.1.0.11"]
     gate.restart_host()
     caller = open_flow_at(deployment, gate)
@@ -79,12 +83,12 @@
     deployment.pass_time(CALM_S)
     exchange(caller, FRONT, b"later")
     assert caller.get_holder() is gate
-    assert not list_resets(deployment, caller)
+    assert not list_resets_of(deployment, caller)
 
 
 def test_flow_of_a_host_whose_start_was_reported_late_survives_a_front() -> None:
     """Guards against saved flows that name an earlier incarnation than their own."""
-    deployment = build_deployment(3)
+    deployment = build_deployment(list_gates(3), (FRONT,))
     gate, node = deployment.gates["10.1.0.11"], deployment.fronts[FRONT]
     deployment.blocked_links.add((gate.ip, FRONT))
     gate.restart_host()
@@ -94,12 +98,12 @@
     deployment.pass_time(CALM_S)
     restart_front(node, node.front.held_flows.list_saved())
     assert caller.get_holder() is gate
-    assert not list_resets(deployment, caller)
+    assert not list_resets_of(deployment, caller)
 
 
 def test_late_copy_of_the_opening_at_a_restarted_gate_leaves_the_flow_open() -> None:
     """Guards against a gate that takes a late copy for a new flow."""
-    deployment = build_deployment(3)
+    deployment = build_deployment(list_gates(3), (FRONT,))
     caller = open_flow(deployment)
     gate = caller.get_holder()
     gate.restart()
@@ -110,13 +114,13 @@
     deployment.pass_time(CALM_S)
     exchange(caller, FRONT, b"later")
     assert caller.get_holder() is gate
-    assert not list_resets(deployment, caller)
+    assert not list_resets_of(deployment, caller)
 
 
 @pytest.mark.xfail(strict=True, reason=KNOWN_RED)
 def test_packet_of_a_flow_whose_gate_restarts_reaches_few_other_hosts() -> None:
     """Guards against gates that have restarted and pass a search to their hosts."""
-    deployment = build_deployment(6)
+    deployment = build_deployment(list_gates(6), (FRONT,))
     caller = open_flow(deployment)
     holder = caller.get_holder()
     others = [gate for gate in deployment.gates.values() if gate is not holder]
@@ -135,7 +139,7 @@
 
 def test_gate_that_was_cut_off_once_is_awaited_after_the_cut_has_healed() -> None:
     """Guards against a gate that counts as lost for good after one lost hello."""
-    deployment = build_deployment(30, (FRONT, OTHER_FRONT))
+    deployment = build_deployment(list_gates(30), (FRONT, OTHER_FRONT))
     fleet = deployment.fronts[OTHER_FRONT].front.fleet
     contacts = {host.ip for host in fleet._contacts.iterate_gates()}
     gate = [each for each in deployment.gates.values() if each.ip not in contacts][-1]
@@ -151,7 +155,7 @@
     deployment.pass_time(CALM_S)
     exchange(caller, OTHER_FRONT, b"later")
     assert caller.get_holder() is gate
-    assert not list_resets(deployment, caller)
+    assert not list_resets_of(deployment, caller)
 
 
 def open_flow_at_own_contact(deployment: Deployment, gate: GateNode) -> Caller:
@@ -165,7 +169,7 @@
 @pytest.mark.xfail(strict=True, reason=KNOWN_RED)
 def test_restart_of_a_host_that_never_held_a_flow_leaves_the_flow_open() -> None:
     """Guards against a front that records a holder which has not confirmed the flow."""
-    deployment = build_deployment(1, (FRONT, OTHER_FRONT))
+    deployment = build_deployment(list_gates(1), (FRONT, OTHER_FRONT))
     wrong = deployment.gates["10.1.0.11"]
     wrong.has_host = False
     deployment.blocked_links.add((wrong.ip, FRONT))
@@ -187,4 +191,4 @@
     wrong.restart_host()
     deployment.pass_time(CALM_S)
     assert caller.get_holder() is right
-    assert not list_resets(deployment, caller)
+    assert not list_resets_of(deployment, caller)
--- a/tests/flows/test_path.py
+++ b/tests/flows/test_path.py
@@ -11,7 +11,7 @@
 from balsamstream.platform import packets
 from standins.flow_host import ACK, RST, SYN
 
-from .deployment import Caller, Deployment, build_desired
+from .deployment import Caller, Deployment, build_deployment, build_desired
 
 FRONT = "10.1.0.1"
 OTHER_FRONT = "10.1.0.2"
@@ -19,13 +19,9 @@
 
 @pytest.fixture
 def deployment() -> Deployment:
-    made = Deployment()
-    for ip in ("10.1.0.11", "10.1.0.12", "10.1.0.13"):
-        made.add_gate(ip)
-    for ip in (FRONT, OTHER_FRONT):
-        made.add_front(ip)
-    made.pass_time(1.0)
-    return made
+    return build_deployment(
+        ("10.1.0.11", "10.1.0.12", "10.1.0.13"), (FRONT, OTHER_FRONT)
+    )
 
 
 def test_request_is_answered(deployment: Deployment) -> None:
--- a/tests/flows/test_reset_logs.py
+++ b/tests/flows/test_reset_logs.py
@@ -11,7 +11,13 @@
 from balsamstream.flows.held_flows import MIN_AGE_S
 from balsamstream.flows.placement import EMPTY_TIMEOUT_S, LOST_TIMEOUT_S, Host
 
-from .deployment import Caller, Deployment, GateNode
+from .deployment import (
+    Caller,
+    Deployment,
+    GateNode,
+    build_deployment,
+    open_flow,
+)
 
 if TYPE_CHECKING:
     from .deployment import RecordedEvents
@@ -24,21 +30,7 @@
 
 @pytest.fixture
 def deployment() -> Deployment:
-    deployment = Deployment()
-    for ip in HOSTS:
-        deployment.add_gate(ip)
-    for ip in (FRONT, OTHER_FRONT):
-        deployment.add_front(ip)
-    deployment.pass_time(1.0)
-    return deployment
-
-
-def open_flow(deployment: Deployment, port: int = 40_001) -> Caller:
-    """Open a flow through the first front and send a request on it."""
-    caller = Caller(deployment, port)
-    caller.open(FRONT)
-    caller.send_request(FRONT)
-    return caller
+    return build_deployment(HOSTS, (FRONT, OTHER_FRONT))
 
 
 def restart_host(gate: GateNode) -> None:
--- a/tests/flows/test_route_changes.py
+++ b/tests/flows/test_route_changes.py
@@ -13,7 +13,15 @@
 from balsamstream.flows.messages import Kind
 from standins.flow_host import RST, FlowHost
 
-from .deployment import ROUTE, SERVICE, Caller, Deployment, build_desired
+from .deployment import (
+    ROUTE,
+    SERVICE,
+    Caller,
+    Deployment,
+    build_desired,
+    list_resets,
+    open_flow,
+)
 
 FRONT = "10.1.0.1"
 OTHER_FRONT = "10.1.0.2"
@@ -34,14 +42,6 @@
     return made
 
 
-def open_flow(deployment: Deployment) -> Caller:
-    """Open a flow through the first front and send a request on it."""
-    caller = Caller(deployment)
-    caller.open(FRONT)
-    caller.send_request(FRONT)
-    return caller
-
-
 def move_route(deployment: Deployment, version: int = 2) -> None:
     """Send the new flows of the route to the other service."""
     routes = {ROUTE: OTHER_SERVICE, OTHER_ROUTE: SERVICE}
@@ -50,7 +50,7 @@
 
 def count_resets(deployment: Deployment) -> int:
     """Count the resets that callers have received."""
-    return sum(1 for packet, _ in deployment.to_callers if packet.flags & RST)
+    return len(list_resets(deployment))
 
 
 def test_open_flow_is_found_at_the_former_service_of_its_route(
--- a/tests/flows/test_search.py
+++ b/tests/flows/test_search.py
@@ -11,7 +11,14 @@
 from balsamstream.flows.search import MAX_RELAY_TARGETS, plan_relays
 from standins.flow_host import RST, FlowHost
 
-from .deployment import HEARTBEAT_S, Caller, Deployment, FrontNode, GateNode
+from .deployment import (
+    HEARTBEAT_S,
+    Deployment,
+    FrontNode,
+    GateNode,
+    list_resets,
+    open_flow,
+)
 
 DATA_CENTRES = ("medina", "sakiet", "thyna")
 GATES = 35
@@ -126,14 +133,6 @@
     return deployment
 
 
-def open_flow(deployment: Deployment) -> Caller:
-    """Open a flow through the first front and send a request on it."""
-    caller = Caller(deployment)
-    caller.open("10.1.0.1")
-    caller.send_request("10.1.0.1")
-    return caller
-
-
 def restart_host(gate: GateNode) -> None:
     """Start the host of a gate again, without any of its flows."""
     gate.host = FlowHost(9_000)
@@ -227,7 +226,7 @@
     }
     assert caller.send_request("10.1.0.2", b"more") == []
     deployment.pass_time(0.5)
-    assert not any(packet.flags & RST for packet, _ in deployment.to_callers)
+    assert not list_resets(deployment)
 
 
 def test_gates_may_be_unknown_after_a_pause() -> None:
@@ -252,7 +251,7 @@
     deployment.pass_time(1.2)
     caller.send_request("10.1.0.2", b"more")
     deployment.pass_time(0.3)
-    assert not any(packet.flags & RST for packet, _ in deployment.to_callers)
+    assert not list_resets(deployment)
 
 
 def test_gate_without_a_host_does_not_hold_up_a_search() -> None:
@@ -276,8 +275,7 @@
             gate.send_heartbeat()
     caller.send_request("10.1.0.2")
     deployment.pass_time(HEARTBEATS_TO_CHECK * HEARTBEAT_S + 0.6)
-    resets = [packet for packet, _ in deployment.to_callers if packet.flags & RST]
-    assert len(resets) == 1
+    assert len(list_resets(deployment)) == 1
 
 
 def test_gate_awaits_its_host_before_it_denies_a_flow() -> None:
@@ -288,7 +286,7 @@
     deployment.pass_time(HEARTBEATS_TO_CHECK * HEARTBEAT_S - 0.5)
     caller.send_request("10.1.0.2", b"early")
     deployment.pass_time(0.3)
-    assert not any(packet.flags & RST for packet, _ in deployment.to_callers)
+    assert not list_resets(deployment)
     holder.has_host = holder.sends_heartbeats = True
     holder.send_heartbeat()
     (answer,) = caller.send_request("10.1.0.2", b"again")
@@ -335,7 +333,7 @@
     deployment.pass_time(0.2)
     caller.send_request("10.1.0.2")
     deployment.pass_time(2.0)
-    assert not any(packet.flags & RST for packet, _ in deployment.to_callers)
+    assert not list_resets(deployment)
 
 
 def test_gate_whose_host_refuses_connections_denies_at_once() -> None:
@@ -392,7 +390,7 @@
     holder.is_up = False
     caller.send_request("10.1.0.2")
     deployment.pass_time(2.0)
-    assert not any(packet.flags & RST for packet, _ in deployment.to_callers)
+    assert not list_resets(deployment)
 
 
 def test_search_reaches_a_gate_that_is_heard_after_it_began() -> None:
@@ -465,8 +463,7 @@
     deployment.pass_time(LOST_TIMEOUT_S + 0.6)
     caller.send_request("10.1.0.2", b"again")
     deployment.pass_time(MAX_PROOF_S)
-    resets = [packet for packet, _ in deployment.to_callers if packet.flags & RST]
-    assert len(resets) == 2
+    assert len(list_resets(deployment)) == 2
 
 
 def test_load_of_a_stopping_gate_repeats_that_its_host_is_gone() -> None:
--- a/tests/flows/test_sound_flows.py
+++ b/tests/flows/test_sound_flows.py
@@ -6,8 +6,13 @@
 
 from balsamstream.flows.heartbeat import HostState
 from balsamstream.flows.placement import LOST_TIMEOUT_S
-from standins.flow_host import RST
-from tests.flows.deployment import Caller, Deployment, FrontNode, GateNode
+from tests.flows.deployment import (
+    Caller,
+    Deployment,
+    FrontNode,
+    GateNode,
+    list_resets,
+)
 
 OPENING_FRONT = "10.2.0.1"
 OTHER_FRONT = "10.1.0.1"
@@ -41,9 +46,7 @@
 
 def take_resets(deployment: Deployment) -> list[int]:
     """Return the caller's port of each reset so far."""
-    return [
-        packet.target[1] for packet, _ in deployment.to_callers if packet.flags & RST
-    ]
+    return [packet.target[1] for packet in list_resets(deployment)]
 
 
 def keep_only_ready(deployment: Deployment, gate: GateNode) -> None:
--- a/tests/node/test_discovery.py
+++ b/tests/node/test_discovery.py
@@ -60,6 +60,7 @@
             old.close()
             new = build_discovery(port)
             await new.join()
+            await new.correct_entry()
             new.close()
             return store.get_spec("nodes", NAME)
 
@@ -115,6 +116,7 @@
             other = NodeEntry("10.1.0.11", "gate", "medina", "etiquettes")
             later = build_discovery(port, other)
             await later.join()
+            await later.correct_entry()
             await discovery.leave()
             discovery.close()
             later.close()
@@ -131,7 +133,7 @@
             await before.join()
             before.close()
             after = build_discovery(port)
-            await after._write_entry()
+            await after.join()
             store.lost_share = 1.0
             correcting = asyncio.create_task(after.correct_entry())
             await asyncio.sleep(0.1)
--- a/tests/node/test_site.py
+++ b/tests/node/test_site.py
@@ -47,6 +47,14 @@
     return sum(1 for packet in host.flows.received if packet.flags & SYN)
 
 
+def restart_nodes(site: FlowSite, role: str) -> None:
+    """Kill the nodes of a role, one after the other, and start each again."""
+    for vm in list(site.vms.values()):
+        if vm.role == role:
+            site.processes.kill(vm.name)
+            site.start_node(vm)
+
+
 async def wait_until(
     check: Callable[[], Awaitable[bool]], within_s: float, what: str
 ) -> None:
@@ -84,10 +92,7 @@
             callers = site.caller_groups[0]
             held = asyncio.create_task(callers.request(site.fronts, hold_s=2.0))
             await asyncio.sleep(0.3)
-            for vm in list(site.vms.values()):
-                if vm.role == "gate":
-                    site.processes.kill(vm.name)
-                    site.start_node(vm)
+            restart_nodes(site, "gate")
             return await held
 
     outcome = asyncio.run(run())
@@ -126,9 +131,7 @@
             site.store.mode = "up"
             site.start_node(joined)
             await wait_until(is_listed, RECOVERY_S, "the gate has an entry")
-            front = next(m for m in site.vms.values() if m.role == "front")
-            site.processes.kill(front.name)
-            site.start_node(front)
+            restart_nodes(site, "front")
             return await held
 
     outcome = asyncio.run(run())
@@ -149,9 +152,7 @@
                 callers.request(site.fronts, hold_s=3.0, deadline_s=7.0)
             )
             await asyncio.sleep(0.3)
-            for vm in [each for each in site.vms.values() if each.role == "gate"]:
-                site.processes.kill(vm.name)
-                site.start_node(vm)
+            restart_nodes(site, "gate")
             await site.wait_ready()
             for host in site.hosts:
                 await host.close()
