--- a/model/guards.py
+++ b/model/guards.py
@@ -309,8 +309,8 @@
     Guard(
         "a late copy of an opening is no new flow",
         LATER_PACKETS,
-        "if entry is None or self._may_be_older(entry, flow):",
-        "if entry is None:",
+        "if entry.host_next_seq is None and self._older_flows.may_include(flow):",
+        "if False:",
         OLDER_FLOWS,
     ),
 )
--- a/src/balsamstream/flows/flow_table.py
+++ b/src/balsamstream/flows/flow_table.py
@@ -32,7 +32,7 @@
 MAX_ACK_AHEAD_OF_COPY_BYTES: Final = 1 << 17
 """The same for a flow known from a copy of its opening packet: it may have opened
 seconds before, and the host answers each copy with its first number."""
-_SEQ_MASK: Final = 0xFFFF_FFFF
+_SEQ_MASK: Final = packets.SEQ_MASK
 
 _ENDING: Final = packets.FIN | packets.RST
 CALLER_ENDED: Final = 1
--- a/src/balsamstream/flows/later_packets.py
+++ b/src/balsamstream/flows/later_packets.py
@@ -20,7 +20,7 @@
     from collections.abc import Callable
 
     from .events import Events
-    from .flow_table import Flow, FlowTable
+    from .flow_table import FlowTable
     from .older_flows import OlderFlows
     from .search_replies import SearchReplies
 
@@ -88,10 +88,14 @@
             return
         flow = packets.get_flow(packet)
         entry = self._flows.get(flow)
-        if entry is None or self._may_be_older(entry, flow):
+        if entry is None:
             self._handle_unknown_flow(packet, flow, sender, now, is_search=is_search)
             return
         if not entry.is_acknowledged_by(packet):
+            # Until the host answers, its opening packet may be a late copy.
+            if entry.host_next_seq is None and self._older_flows.may_include(flow):
+                self._ask_host(packet, flow, sender, now, is_search=is_search)
+                return
             self.report_not_held(
                 packet,
                 flow,
@@ -106,13 +110,6 @@
             self._replies.send_held(flow, sender)
         self._send_to_host(packet, sender, is_search=is_search)
 
-    def _may_be_older(self, entry: Flow, flow: bytes) -> bool:
-        """Return whether the host may hold a flow from before its opening packet here.
-
-        That packet may be a late copy. It proves nothing until the host answers.
-        """
-        return entry.host_next_seq is None and self._older_flows.may_include(flow)
-
     def handle_relayed_search(self, message: bytes, now: float) -> None:
         """Handle a search that another gate has relayed for a front."""
         search = decode_relayed_search(message)
@@ -138,7 +135,12 @@
         if not self._older_flows.may_include(flow):
             self.report_not_held(packet, flow, sender, "not held", is_search=is_search)
             return
-        # Only the host knows whether it holds the flow.
+        self._ask_host(packet, flow, sender, now, is_search=is_search)
+
+    def _ask_host(
+        self, packet: bytes, flow: bytes, sender: str, now: float, *, is_search: bool
+    ) -> None:
+        """Send a packet to the host, which alone knows whether it holds the flow."""
         if is_search:
             self._older_flows.start_probe(flow, sender, now)
         self._events.count("flows.asked_host")
--- a/src/balsamstream/flows/placement.py
+++ b/src/balsamstream/flows/placement.py
@@ -153,21 +153,25 @@
         return not self.explain_absence(now)
 
     def explain_absence(self, now: float) -> str:
-        """Return why no flows may be at the host, empty if some may be.
-
-        What its gate reported counts only if that was just before the gate fell silent:
-        a host may have come since.
-        """
-        silent_since = now if self.asked_at is None else self.asked_at
-        is_recent = silent_since - self.last_heard_at <= RECENT_S
-        if is_recent and self.state is HostState.GONE:
+        """Return why no flows may be at the host, empty if some may be."""
+        if self.state is HostState.GONE and self._is_report_recent(now):
             return "gone"
-        is_empty = is_recent and self.is_empty
+        if self.asked_at is None:
+            return ""
+        is_empty = self.is_empty and self._is_report_recent(now)
         timeout_s = EMPTY_TIMEOUT_S if is_empty else LOST_TIMEOUT_S
-        if self.asked_at is None or now - self.asked_at < timeout_s:
+        if now - self.asked_at < timeout_s:
             return ""
         return "empty" if is_empty else "silent"
 
+    def _is_report_recent(self, now: float) -> bool:
+        """Return whether the gate has reported just before it fell silent, if it has.
+
+        A host may have come since an older report.
+        """
+        silent_since = now if self.asked_at is None else self.asked_at
+        return silent_since - self.last_heard_at <= RECENT_S
+
     def record_asked(self, now: float) -> None:
         """Record that the gate was sent a hello, which it answers."""
         self.hello_at = now
--- a/src/balsamstream/flows/search.py
+++ b/src/balsamstream/flows/search.py
@@ -60,7 +60,7 @@
 
     started_at: float
     rotation: int
-    packet: bytes = b""
+    packet: bytes
     denied_by: set[str] = field(default_factory=set)
     expected_denials: int = 0
     is_wide: bool = False
@@ -73,10 +73,10 @@
 
         If not, the caller has used its port for another one since.
         """
-        if not self.packet:
-            return True
         step = packets.get_seq(packet) - packets.get_seq(self.packet)
-        return min(step & _SEQ_MASK, -step & _SEQ_MASK) <= MAX_SEQ_STEP_BYTES
+        return (
+            min(step & packets.SEQ_MASK, -step & packets.SEQ_MASK) <= MAX_SEQ_STEP_BYTES
+        )
 
     def is_expired(self, now: float) -> bool:
         """Return whether the search has reached its timeout."""
@@ -99,9 +99,9 @@
     targets: list[Host]
 
 
-def start_search(flow: bytes, now: float) -> Search:
+def start_search(flow: bytes, packet: bytes, now: float) -> Search:
     """Start a search; the initial rotation spreads flows over the relays."""
-    return Search(now, zlib.crc32(flow))
+    return Search(now, zlib.crc32(flow), packet)
 
 
 def plan_relays(
@@ -139,8 +139,6 @@
     return host.is_alive(now) and host.state is not HostState.GONE
 
 
-_SEQ_MASK: Final = 0xFFFF_FFFF
-
 __all__ = [
     "MAX_RELAY_TARGETS",
     "SEARCH_TIMEOUT_S",
--- a/src/balsamstream/flows/searches.py
+++ b/src/balsamstream/flows/searches.py
@@ -92,10 +92,10 @@
             self._events.count("packets.no_route")
             return
         flow = packets.get_flow(packet)
-        search = self._searches.get(flow)
-        is_new = search is None or search.is_expired(now) or not search.concerns(packet)
-        if search is None or is_new:
-            search = self._searches[flow] = start_search(flow, now)
+        search = self._find_running(flow, packet, now)
+        is_new = search is None
+        if search is None:
+            search = self._searches[flow] = start_search(flow, packet, now)
         if stray_at:
             search.denied_by.add(stray_at)
         search.packet = packet
@@ -112,6 +112,13 @@
             )
         self._advance(flow, search, now)
 
+    def _find_running(self, flow: bytes, packet: bytes, now: float) -> Search | None:
+        """Return the search for the flow of a packet, None if none is running."""
+        search = self._searches.get(flow)
+        if search is None or search.is_expired(now) or not search.concerns(packet):
+            return None
+        return search
+
     def _widen(self, search: Search, route: Route, now: float) -> bool:
         """Let a search ask all gates if the rate limit allows it; tell whether."""
         if search.is_wide:
--- a/src/balsamstream/node/discovery.py
+++ b/src/balsamstream/node/discovery.py
@@ -71,9 +71,7 @@
     async def join(self) -> list[NodeEntry]:
         """Write this node's entry, then return the others; retry until both succeed."""
         await self._write_entry()
-        nodes = await self._read_entries()
-        await self._correct_entry()
-        return nodes
+        return await self._read_entries()
 
     async def rejoin(self, era: int) -> None:
         """Write this node's entry again if a restore of the store may have lost it.
@@ -161,10 +159,7 @@
         match result:
             case Written() | Conflict():
                 self._own_entry = result.current
-        self._events.emit(
-            "entry_corrected",
-            result=type(result).__name__,
-        )
+        self._events.emit("entry_corrected", result=type(result).__name__)
         return isinstance(result, Written)
 
     async def _read_entries(self) -> list[NodeEntry]:
--- a/src/balsamstream/platform/documents.py
+++ b/src/balsamstream/platform/documents.py
@@ -179,12 +179,7 @@
         pack_route(document.ip, 1)
     except ValueError as error:
         raise MalformedDocument(f"invalid address: {error}") from error
-    return NodeEntry(
-        document.ip,
-        document.role,
-        document.data_centre,
-        document.service,
-    )
+    return NodeEntry(document.ip, document.role, document.data_centre, document.service)
 
 
 def write_node(node: NodeEntry) -> bytes:
--- a/src/balsamstream/platform/packets.py
+++ b/src/balsamstream/platform/packets.py
@@ -34,6 +34,8 @@
 _FLOW_CALLER_FIELD: Final = slice(8, 12)
 
 FLOW_KEY_BYTES: Final = 12
+SEQ_MASK: Final = 0xFFFF_FFFF
+"""Sequence numbers and differences between them wrap around."""
 MAX_PORT: Final = 65_535
 
 
