End no flow at a stop if the host was heard since the check

What callers saw: nothing so far (by reading and a test). A host that starts between the last check of its gate and the gate's stop, a moment, would have lost its first flows.

Cause: leave() took the result of the check without its time. The checks while the gate runs were guarded already: one that a heartbeat has overtaken proves nothing.

Evidence: a test, which failed before.

Change: leave() is given the time of the refused check and compares it, as the other check does.

--- a/src/balsamstream/flows/gate.py
+++ b/src/balsamstream/flows/gate.py
@@ -451,18 +451,19 @@
         if now >= self._expire_due:
             self._expire(now)
 
-    def leave(self, now: float, *, has_host: bool = True) -> None:
+    def leave(self, now: float, *, refused_at: float | None = None) -> None:
         """Accept no new flows, as this process is about to stop.
 
         Parameters
         ----------
         now : float
             Time, in seconds.
-        has_host : bool
-            Whether a host may still run; if not, all of its flows have ended.
+        refused_at : float or None
+            Time at which a check began that has found nothing at the host's address, in
+            seconds. All flows of the host have ended unless it was heard since.
         """
         self._is_leaving = True
-        if not has_host:
+        if refused_at is not None and not self._host.was_heard_since(refused_at):
             self._handle_host_end(now)
             self._older_flows.record_all_seen("host ended")
         self._handle_state_change("gate is stopping", now)
--- a/src/balsamstream/node/gate.py
+++ b/src/balsamstream/node/gate.py
@@ -73,8 +73,10 @@
 
     async def stop(self) -> None:
         """Forward the host's last packets; if it has left, delete this node's entry."""
-        has_host = await self._may_have_host()
-        self._gate.leave(asyncio.get_running_loop().time(), has_host=has_host)
+        loop = asyncio.get_running_loop()
+        checked_at = loop.time()
+        refused_at = None if await self._may_have_host() else checked_at
+        self._gate.leave(loop.time(), refused_at=refused_at)
         await asyncio.sleep(STOP_DELAY_S)
         if await self._has_host_ended():
             async with asyncio.timeout(DELETE_TIMEOUT_S):
--- a/tests/flows/flow_faults.py
+++ b/tests/flows/flow_faults.py
@@ -146,7 +146,8 @@
     def _stop_gate(self, gate: WorldGate) -> None:
         if not gate.is_up:
             return
-        gate.gate.leave(self._world.now, has_host=gate.server is not None)
+        now = self._world.now
+        gate.gate.leave(now, refused_at=None if gate.is_host_running() else now)
         self._oracle.record_fault(f"gate {gate.ip} stops as planned")
         self._world.after(STOP_S, self._end_gate, gate, self._random.uniform(0.2, 2.5))
 
--- a/tests/flows/test_older_flows.py
+++ b/tests/flows/test_older_flows.py
@@ -160,6 +160,19 @@
     check_served(deployment, caller, holder)
 
 
+def test_check_at_a_stop_that_a_heartbeat_has_overtaken_ends_no_flow(
+    deployment: Deployment,
+) -> None:
+    """Guards against a gate that stops and ends the flows of a host that has come."""
+    caller = open_flow(deployment)
+    holder = caller.get_holder()
+    checked_at = deployment.now
+    deployment.pass_time(0.3)
+    holder.send_heartbeat()
+    holder.gate.leave(deployment.now, refused_at=checked_at)
+    check_served(deployment, caller, holder)
+
+
 def test_late_last_message_of_an_earlier_host_says_nothing_of_the_next_one(
     deployment: Deployment,
 ) -> None:
--- a/tests/flows/test_path.py
+++ b/tests/flows/test_path.py
@@ -522,7 +522,7 @@
     assert caller.open("10.1.0.1") == []
     deployment.add_gate("10.1.0.12")
     if is_stop:
-        ended.gate.leave(deployment.now, has_host=False)
+        ended.gate.leave(deployment.now, refused_at=deployment.now)
     else:
         ended.incarnation = 2
         ended.send_heartbeat()
--- a/tests/flows/test_search.py
+++ b/tests/flows/test_search.py
@@ -435,7 +435,7 @@
     deployment = build_deployment()
     caller = open_flow(deployment)
     holder = caller.get_holder()
-    holder.gate.leave(deployment.now, has_host=False)
+    holder.gate.leave(deployment.now, refused_at=deployment.now)
     deployment.run()
     holder.is_up = False
     caller.send_request("10.1.0.2")
@@ -471,7 +471,7 @@
     deployment = build_deployment()
     caller = open_flow(deployment)
     holder = caller.get_holder()
-    holder.gate.leave(deployment.now, has_host=False)
+    holder.gate.leave(deployment.now, refused_at=deployment.now)
     deployment.pass_time(0.3)
     host = deployment.fronts["10.1.0.2"].front.fleet.find_host(holder.ip)
     assert host is not None
